--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+PACKAGES := core daemon command report standins
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package))
+space := $(subst ,, )
+export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
+STAMP := $(VENV)/.installed
+
+.PHONY: venv format lint test bench capacity soak demo generate
+
+venv: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach package,$(SOURCES),--editable $(package))
+	touch $(STAMP)
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy $(foreach package,$(SOURCES),$(package)/src)
+
+test: venv
+	$(BIN)/pytest -q
+
+bench: venv
+	$(BIN)/python -m benchmarks
+
+soak: venv
+	HYPOTHESIS_PROFILE=soak $(BIN)/pytest -q -m "not slow" packages
+
+capacity: venv
+	$(BIN)/python -m benchmarks.capacity
+
+demo: venv
+	$(BIN)/python -m gentianpaddle_command demo
+
+generate: venv
+	cd packages/daemon/src && $(CURDIR)/$(BIN)/python -m grpc_tools.protoc -I. \
+	  --python_out=. --mypy_out=. --plugin=protoc-gen-mypy=$(CURDIR)/$(BIN)/protoc-gen-mypy \
+	  --grpclib_python_out=. --plugin=protoc-gen-grpclib_python=$(CURDIR)/$(BIN)/protoc-gen-grpclib_python \
+	  gentianpaddle_daemon/wire/messages.proto
--- /dev/null
+++ b/packages/core/src/gentianpaddle_core/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions of gentianpaddle without I/O."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between the processes; `messages.proto` is the source of the generated modules."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/report/src/gentianpaddle_report/__init__.py
@@ -0,0 +1,3 @@
+"""Evening page of gentianpaddle."""
+
+from __future__ import annotations
