--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core daemon command report standins
 SOURCES := $(foreach package,$(PACKAGES),packages/$(package))
 space := $(subst ,, )
-export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
+export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 STAMP := $(VENV)/.installed
 
 .PHONY: venv format lint test bench capacity soak demo generate
@@ -24,7 +24,7 @@
 lint: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy $(foreach package,$(SOURCES),$(package)/src)
+	$(BIN)/mypy $(foreach package,$(SOURCES),$(package)/src) benchmarks
 
 test: venv
 	$(BIN)/pytest -q
