--- a/packages/core/src/gentianpaddle_core/mistakes.py
+++ b/packages/core/src/gentianpaddle_core/mistakes.py
@@ -58,7 +58,8 @@
         try:
             return tomllib.loads(text)
         except tomllib.TOMLDecodeError as error:
-            self.mistakes.append(Mistake(self.file, "syntax", str(error), "a valid TOML document"))
+            found = _with_line(str(error), text)
+            self.mistakes.append(Mistake(self.file, "syntax", found, "a valid TOML document"))
             return None
 
     def known_keys(self, table: Table, prefix: str, known: Iterable[str]) -> None:
@@ -227,6 +228,12 @@
     return f"{prefix}.{key}" if prefix else key
 
 
+def _with_line(message: str, text: str) -> str:
+    # tomllib names no line for a document that ends too early.
+    last_line = len(text.splitlines())
+    return message.replace("at end of document", f"at line {last_line}, end of document")
+
+
 def _shown(found: object) -> str:
     if found is None:
         return "nothing"
