--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of a process, kept by `aioprometheus`."""
+
+from __future__ import annotations
+
+import typing
+
+import aioprometheus
+from aioprometheus import renderer
+
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.8, 3.0, 6.0, 12.0, float("inf"))
+TOKEN_GAP_BUCKETS_S = (0.005, 0.01, 0.02, 0.027, 0.04, 0.08, 0.2, 1.0, float("inf"))
+
+
+class Metrics:
+    """All metrics of one process in a registry of its own."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            "gentianpaddle_requests_total", "Requests by class and outcome"
+        )
+        self.attempts = self._counter(
+            "gentianpaddle_attempts_total", "Attempts by result at the agent"
+        )
+        self.store_calls = self._counter(
+            "gentianpaddle_store_calls_total", "Calls of the object API by kind and result"
+        )
+        self.control_bytes = self._counter(
+            "gentianpaddle_control_bytes_total", "Control-plane bytes sent by message"
+        )
+        self.first_token = aioprometheus.Histogram(
+            "gentianpaddle_first_token_seconds",
+            "Time to the first token by class",
+            buckets=list(FIRST_TOKEN_BUCKETS_S),
+            registry=self._registry,
+        )
+        self.token_gap = aioprometheus.Histogram(
+            "gentianpaddle_token_gap_seconds",
+            "Mean time between tokens of a request by class",
+            buckets=list(TOKEN_GAP_BUCKETS_S),
+            registry=self._registry,
+        )
+
+    def _counter(self, name: str, text: str) -> typing.Any:
+        return aioprometheus.Counter(name, text, registry=self._registry)
+
+    def render(self) -> tuple[bytes, str]:
+        """Render all metrics.
+
+        Returns:
+            The text and its content type.
+        """
+        content, headers = renderer.render(self._registry, [])
+        return content, headers["Content-Type"]
+
+
+def new_metrics() -> Metrics:
+    """Create the metrics of a process.
+
+    Returns:
+        Metrics with no values yet.
+    """
+    return Metrics()
--- /dev/null
+++ b/packages/standins/src/gentianpaddle_standins/plain_service.py
@@ -0,0 +1,48 @@
+"""Stand-in for a plain booking service whose calls must not be repeated."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import typing
+from collections.abc import Iterable
+
+from gentianpaddle_standins import engine, http_server
+
+
+class BookingService:
+    """Counts each booking that it makes."""
+
+    def __init__(self, delay_s: float = 0.01) -> None:
+        self.delay_s = delay_s
+        self.runs: list[engine.Run] = []
+        self._lock = threading.Lock()
+
+    def app(self, environ: dict[str, typing.Any], start_response: typing.Any) -> Iterable[bytes]:
+        """Serve one HTTP request as a WSGI application."""
+        if environ["PATH_INFO"] == "/health":
+            start_response("200 OK", [("Content-Type", "application/json")])
+            return [b'{"incarnation": 1, "running": 0, "waiting_tokens": 0, "step_ms": 1}']
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        key = environ.get("HTTP_GENTIANPADDLE_KEY", "")
+        with self._lock:
+            self.runs.append(engine.Run(key, time.monotonic()))
+            number = len(self.runs)
+        time.sleep(self.delay_s)
+        answer = {"booking": number, "key": key, "echo": body.decode(errors="replace")}
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps(answer).encode()]
+
+
+def new_service_server(service: BookingService) -> http_server.BackgroundServer:
+    """Serve a booking service on loopback.
+
+    Args:
+        service: Service to serve.
+
+    Returns:
+        The running server.
+    """
+    return http_server.new_background_server(service.app, threads=32)
