--- /dev/null
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -0,0 +1,434 @@
+"""Choice of a backend server for a request.
+
+A decision weighs at most `CANDIDATES_LIMIT` servers and touches no others, so its cost does not
+depend on the size of the fleet. The sample is seeded by the fingerprint of the request: repeated
+copies of one request meet the same few servers.
+"""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import enum
+import hashlib
+import typing
+
+from gentianpaddle_core import declarations, ids, prefix_index, scoring
+
+CANDIDATES_LIMIT = 16
+"""Servers weighed in one decision."""
+DRAWS_LIMIT = 48
+"""Points of the seeded sequence visited to find the candidates."""
+POINTS_PER_SERVER = 4
+"""Points of a server on the ring; more points even out the shares."""
+CANDIDATES_BY_PREFIX_LIMIT = 4
+"""Candidates that come from the prefix index."""
+RETRY_WAIT_S = 0.05
+"""Wait before the next look when no event is known that frees capacity."""
+NO_SERVER_RETRY_AFTER_S = 2.0
+"""Advice to callers while no server of a model is available."""
+DEFAULT_ONE_WAY_S = {"own": 0.0001, "region": 0.001, "other": 0.02}
+"""Delay to a server in the own data centre, in the own region and elsewhere."""
+HASH_MASK = (1 << 64) - 1
+
+
+class State(enum.StrEnum):
+    """State of a backend server as this entry sees it."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    OUT = "out"
+    DEAD = "dead"
+
+
+class Reason(enum.StrEnum):
+    """Why a server was chosen or none was."""
+
+    PREFIX = "prefix"
+    """Meets the target and holds a prefix of the prompt."""
+    MEETS_TARGET = "meets_target"
+    """Meets the target at the least cost."""
+    LATE = "late"
+    """No server meets the target any more; this one is the fastest within the deadline."""
+    NO_GRANT = "no_grant"
+    """All candidates are full."""
+    TARGET_MISSED = "target_missed"
+    """Waiting can still meet the target."""
+    NO_SERVER = "no_server"
+    """No server of the model may get work."""
+    DEADLINE = "deadline"
+    """No candidate can answer before the deadline."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a process runs."""
+
+    data_centre: ids.DataCentreId
+    """Its data centre."""
+    region: ids.RegionId
+    """Its region."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A backend server that this entry is linked to."""
+
+    id: ids.BackendServerId
+    """Its name."""
+    vm: ids.VmId
+    """VM of its agent."""
+    place: Place
+    """Where it runs."""
+    targets: tuple[ids.ModelName, ...]
+    """Models or plain services that it serves."""
+    one_way_s: float | None = None
+    """Measured delay from this entry, None where it is not measured."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What a decision needs to know of a request."""
+
+    model: ids.ModelName
+    """Model or plain service."""
+    fingerprint: ids.Fingerprint
+    """Digest of what it asks for."""
+    class_of_work: declarations.ClassOfWork
+    """Class with its targets."""
+    arrived_s: float
+    """Arrival at this entry."""
+    prompt_tokens: int
+    """Estimated length of the prompt, 0 for a plain service."""
+    prefix_hashes: tuple[int, ...] = ()
+    """Result of `prefix_index.prefix_hashes`."""
+    tried: frozenset[ids.BackendServerId] = frozenset()
+    """Servers that this request has been sent to already."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Routed:
+    """Send the request to this server."""
+
+    backend_server: ids.BackendServerId
+    """The server."""
+    reason: Reason
+    """Why."""
+    first_token_s: float
+    """Predicted time to first token from now."""
+    gap_s: float
+    """Predicted time between tokens."""
+    candidates: int
+    """Servers weighed."""
+    uncached_tokens: float
+    """Prompt tokens expected not to be cached there; pass it to `Router.sent`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Ask again at a time, or when a load report or an end of a request comes first."""
+
+    until_s: float
+    """Time of the next look."""
+    reason: Reason
+    """Why."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoCapacity:
+    """Refuse the request."""
+
+    retry_after_s: float
+    """Predicted time until there is capacity."""
+    reason: Reason
+    """Why."""
+
+
+Decision: typing.TypeAlias = Routed | Wait | NoCapacity
+"""Result of a routing decision."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    server: BackendServer
+    score: scoring.ServerScore
+    state: State = State.ALIVE
+
+
+class _Ring:
+    """Eligible servers of one model on a hash ring."""
+
+    def __init__(self) -> None:
+        self._points: list[tuple[int, ids.BackendServerId]] = []
+        self.servers: dict[ids.BackendServerId, None] = {}
+
+    def add(self, server: ids.BackendServerId) -> None:
+        if server not in self.servers:
+            self.servers[server] = None
+            for point in _server_points(server):
+                bisect.insort(self._points, (point, server))
+
+    def remove(self, server: ids.BackendServerId) -> None:
+        if server in self.servers:
+            del self.servers[server]
+            for point in _server_points(server):
+                del self._points[bisect.bisect_left(self._points, (point, server))]
+
+    def sequence(self, fingerprint: ids.Fingerprint) -> typing.Iterator[ids.BackendServerId]:
+        """Servers at seeded points; may repeat."""
+        points = self._points
+        state = _hash(fingerprint)
+        for _ in range(DRAWS_LIMIT):
+            # Steps of splitmix64, which is cheaper than a hash per point.
+            state = (state + 0x9E3779B97F4A7C15) & HASH_MASK
+            mixed = ((state ^ (state >> 30)) * 0xBF58476D1CE4E5B9) & HASH_MASK
+            mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & HASH_MASK
+            index = bisect.bisect_left(points, (mixed ^ (mixed >> 31), ""))
+            yield points[index % len(points)][1]
+
+
+class Router:
+    """Routing state of one entry."""
+
+    def __init__(self, place: Place, index: prefix_index.PrefixIndex) -> None:
+        """Create a router without servers; use `new_router`."""
+        self._place = place
+        self._index = index
+        self._entry_by_id: dict[ids.BackendServerId, _Entry] = {}
+        self._ring_by_model: dict[ids.ModelName, _Ring] = {}
+        self._lines_by_model: dict[ids.ModelName, scoring.ModelLines] = {}
+        self._data_centres_out: frozenset[ids.DataCentreId] = frozenset()
+        self._vms_out: frozenset[ids.VmId] = frozenset()
+
+    def add(self, server: BackendServer) -> None:
+        """Add a linked server, or change what is known of it; learned figures stay."""
+        known = self._entry_by_id.get(server.id)
+        if known is not None:
+            self._leave_rings(known)
+            known.server = server
+            self._place_on_rings(known)
+            return
+        one_way_s = server.one_way_s
+        if one_way_s is None:
+            one_way_s = DEFAULT_ONE_WAY_S[self._distance(server.place)]
+        lines = self._lines_by_model.setdefault(server.targets[0], scoring.new_model_lines())
+        entry = _Entry(server, scoring.new_server_score(lines, one_way_s))
+        self._entry_by_id[server.id] = entry
+        self._place_on_rings(entry)
+
+    def remove(self, server: ids.BackendServerId) -> None:
+        """Remove a server to which there is no link any more."""
+        entry = self._entry_by_id.pop(server, None)
+        if entry is not None:
+            self._leave_rings(entry)
+            self._index.discard(server)
+
+    def set_state(self, server: ids.BackendServerId, state: State, now_s: float) -> None:
+        """Change the state of a server; only an alive one gets new work."""
+        entry = self._entry_by_id.get(server)
+        if entry is None:
+            return
+        entry.state = state
+        if state is State.DEAD:
+            self._index.forget(server, now_s)
+        self._place_on_rings(entry)
+
+    def set_out(self, data_centres: frozenset[ids.DataCentreId], vms: frozenset[ids.VmId]) -> None:
+        """Set the places out of service of the accepted configuration."""
+        self._data_centres_out, self._vms_out = data_centres, vms
+        for entry in self._entry_by_id.values():
+            self._place_on_rings(entry)
+
+    def report(self, server: ids.BackendServerId, load: scoring.Load, now_s: float) -> None:
+        """Take a load report of an agent."""
+        entry = self._entry_by_id.get(server)
+        if entry is None:
+            return
+        if entry.score.report(load, now_s):
+            self._index.forget(server, now_s)
+        self._place_on_rings(entry)
+
+    def cache_lost(self, server: ids.BackendServerId, now_s: float) -> None:
+        """Forget the prefixes of a server that lost its cache."""
+        self._index.forget(server, now_s)
+
+    def outstanding(self, server: ids.BackendServerId) -> int:
+        """Own requests at a server that have not ended."""
+        entry = self._entry_by_id.get(server)
+        return 0 if entry is None else entry.score.outstanding
+
+    def choose(self, request: Request, now_s: float) -> Decision:
+        """Choose a backend server; changes nothing.
+
+        Args:
+            request: The request.
+            now_s: Monotonic time.
+
+        Returns:
+            A server, a time to ask again, or a refusal.
+        """
+        ring = self._ring_by_model.get(request.model)
+        if ring is None or ring.servers.keys() <= request.tried:
+            return NoCapacity(NO_SERVER_RETRY_AFTER_S, Reason.NO_SERVER)
+        cached = {
+            match.backend_server: match.expected_cached_tokens
+            for match in self._index.matches(request.prefix_hashes, now_s)
+        }
+        candidates = self._candidates(ring, request, cached)
+        if not candidates:
+            if now_s >= request.arrived_s + request.class_of_work.deadline_s:
+                return NoCapacity(RETRY_WAIT_S, Reason.DEADLINE)
+            return Wait(now_s + RETRY_WAIT_S, Reason.NO_GRANT)
+        return self._weigh(candidates, request, cached, now_s)
+
+    def sent(
+        self,
+        server: ids.BackendServerId,
+        attempt: tuple[ids.RequestKey, int],
+        request: Request,
+        uncached_tokens: float,
+        now_s: float,
+    ) -> None:
+        """Count an attempt that was sent, and expect its prefix in the server's cache."""
+        entry = self._entry_by_id.get(server)
+        if entry is not None:
+            entry.score.sent(attempt, uncached_tokens, now_s)
+            self._index.record(request.prefix_hashes, server, now_s)
+
+    def first_token(
+        self, server: ids.BackendServerId, attempt: tuple[ids.RequestKey, int], now_s: float
+    ) -> None:
+        """Learn from the first token of an attempt, or from the whole answer of a service."""
+        entry = self._entry_by_id.get(server)
+        if entry is not None:
+            entry.score.first_token(attempt, now_s)
+
+    def finished(
+        self,
+        server: ids.BackendServerId,
+        attempt: tuple[ids.RequestKey, int],
+        gap_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Count an attempt as over: ended, failed, declined or cancelled.
+
+        Args:
+            server: Where it was sent.
+            attempt: Request key and attempt number.
+            gap_s: Mean time between its tokens, None when there is none to learn from.
+            now_s: Monotonic time.
+        """
+        entry = self._entry_by_id.get(server)
+        if entry is not None:
+            entry.score.finished(attempt, gap_s, now_s)
+
+    def _candidates(
+        self,
+        ring: _Ring,
+        request: Request,
+        cached: dict[ids.BackendServerId, float],
+    ) -> list[ids.BackendServerId]:
+        found: dict[ids.BackendServerId, None] = {}
+        for server in cached:
+            if len(found) < CANDIDATES_BY_PREFIX_LIMIT and server in ring.servers:
+                self._consider(server, request, found)
+        few = len(ring.servers) <= CANDIDATES_LIMIT
+        for server in ring.servers if few else ring.sequence(request.fingerprint):
+            if len(found) >= CANDIDATES_LIMIT:
+                break
+            self._consider(server, request, found)
+        return list(found)
+
+    def _consider(
+        self,
+        server: ids.BackendServerId,
+        request: Request,
+        found: dict[ids.BackendServerId, None],
+    ) -> None:
+        if server not in request.tried and self._entry_by_id[server].score.room > 0:
+            found[server] = None
+
+    def _weigh(
+        self,
+        candidates: list[ids.BackendServerId],
+        request: Request,
+        cached: dict[ids.BackendServerId, float],
+        now_s: float,
+    ) -> Decision:
+        target = request.class_of_work
+        waited_s = now_s - request.arrived_s
+        first_target_s = target.first_token_s - waited_s
+        gap_target_s = target.token_gap_ms / 1_000
+        best: tuple[bool, float, ids.BackendServerId, scoring.Prediction] | None = None
+        for server in candidates:
+            score = self._entry_by_id[server].score
+            predicted = score.predict(request.prompt_tokens, cached.get(server, 0.0), now_s)
+            misses = predicted.first_token_s > first_target_s or predicted.gap_s > gap_target_s
+            cost = (
+                predicted.first_token_s / target.first_token_s
+                + predicted.gap_s / gap_target_s
+                + predicted.work_s / target.first_token_s
+            )
+            if best is None or (misses, cost) < best[:2]:
+                best = (misses, cost, server, predicted)
+        assert best is not None
+        misses, _, server, predicted = best
+        if predicted.first_token_s > target.deadline_s - waited_s:
+            after_s = predicted.first_token_s - (target.deadline_s - waited_s)
+            return NoCapacity(max(RETRY_WAIT_S, after_s), Reason.DEADLINE)
+        reason = Reason.PREFIX if server in cached else Reason.MEETS_TARGET
+        return Routed(
+            backend_server=server,
+            reason=Reason.LATE if misses else reason,
+            first_token_s=predicted.first_token_s,
+            gap_s=predicted.gap_s,
+            candidates=len(candidates),
+            uncached_tokens=max(1.0, request.prompt_tokens - cached.get(server, 0.0)),
+        )
+
+    def _distance(self, place: Place) -> str:
+        if place.data_centre == self._place.data_centre:
+            return "own"
+        return "region" if place.region == self._place.region else "other"
+
+    def _eligible(self, entry: _Entry) -> bool:
+        load = entry.score.load
+        return not (
+            entry.state is not State.ALIVE
+            or load.leaving
+            or load.out
+            or entry.server.vm in self._vms_out
+            or entry.server.place.data_centre in self._data_centres_out
+        )
+
+    def _place_on_rings(self, entry: _Entry) -> None:
+        if not self._eligible(entry):
+            self._leave_rings(entry)
+            return
+        for model in entry.server.targets:
+            self._ring_by_model.setdefault(model, _Ring()).add(entry.server.id)
+
+    def _leave_rings(self, entry: _Entry) -> None:
+        for model in entry.server.targets:
+            ring = self._ring_by_model.get(model)
+            if ring is not None:
+                ring.remove(entry.server.id)
+
+
+def new_router(place: Place, prefixes_limit: int = 20_000) -> Router:
+    """Create a router without servers.
+
+    Args:
+        place: Where the entry runs.
+        prefixes_limit: Prompt prefixes remembered.
+    """
+    return Router(place, prefix_index.new_prefix_index(prefixes_limit))
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
+
+
+def _server_points(server: ids.BackendServerId) -> list[int]:
+    return [_hash(f"{server}/{number}") for number in range(POINTS_PER_SERVER)]
