--- a/packages/daemon/src/gentianpaddle_daemon/loop_thread.py
+++ b/packages/daemon/src/gentianpaddle_daemon/loop_thread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import threading
 import typing
 from collections.abc import Callable, Coroutine
@@ -48,10 +49,8 @@
 
     def stop(self) -> None:
         """Cancel all tasks and stop the loop."""
-        try:
+        with contextlib.suppress(TimeoutError):
             self.run(_cancel_all(), STOP_TIMEOUT_S)
-        except TimeoutError:
-            pass
         self.call(self.loop.stop)
         self._thread.join(STOP_TIMEOUT_S)
 
