--- /dev/null
+++ b/packages/core/tests/test_admission.py
@@ -0,0 +1,130 @@
+"""Guards against starved classes and organisations, unbounded queues and dishonest waits."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from gentianpaddle_core import admission, declarations, ids
+from hypothesis import strategies
+
+MODEL = ids.ModelName("m")
+QUOTE = declarations.ClassOfWork(ids.ClassName("quote"), 1.8, 27.0, 0.95, 20.0)
+BATCH = declarations.ClassOfWork(ids.ClassName("batch"), 30.0, 90.0, 0.9, 600.0)
+BY_NAME = {"quote": QUOTE, "batch": BATCH}
+
+
+def offer(
+    queue: admission.AdmissionQueue,
+    organisation: str,
+    name: str = "quote",
+    cost: float = 1_000.0,
+    now_s: float = 0.0,
+) -> admission.Admission:
+    work = BY_NAME[name]
+    return queue.offer(MODEL, ids.OrganisationId(organisation), work, cost, now_s)
+
+
+def drain(queue: admission.AdmissionQueue, count: int, now_s: float) -> list[admission.Ticket]:
+    taken = []
+    for _ in range(count):
+        ticket = queue.next_ready(MODEL, now_s)
+        if ticket is None:
+            break
+        assert queue.take(ticket, now_s)
+        taken.append(ticket)
+    return taken
+
+
+@pytest.mark.parametrize(
+    ("offers", "order"),
+    [
+        ("a:batch a:quote", "quote batch"),
+        ("a:quote a:quote a:batch a:quote", "quote quote quote batch"),
+    ],
+)
+def test_higher_class_goes_first(offers: str, order: str):
+    queue = admission.new_admission_queue()
+    for item in offers.split():
+        assert isinstance(offer(queue, *item.split(":")), admission.Queued)
+    assert [t.class_of_work.name for t in drain(queue, 9, 0.0)] == order.split()
+
+
+def test_low_class_is_not_starved():
+    queue = admission.new_admission_queue()
+    offer(queue, "a", "batch")
+    taken = []
+    for step in range(100):
+        offer(queue, "a", now_s=step * 0.01)
+        offer(queue, "b", now_s=step * 0.01)
+        taken += drain(queue, 1, step * 0.01)
+    position = [t.class_of_work.name for t in taken].index("batch")
+    assert 10 <= position <= 1 / admission.MINIMUM_SHARE
+
+
+@pytest.mark.parametrize("large", [50, 400])
+def test_small_organisation_beside_a_large_one(large: int):
+    queue = admission.new_admission_queue()
+    for _ in range(large):
+        offer(queue, "large")
+    offer(queue, "small")
+    started = [t.organisation for t in drain(queue, 12, 0.0)]
+    assert "small" in started
+
+
+def test_refusal_tells_the_time_until_capacity():
+    queue = admission.new_admission_queue()
+    for _ in range(10):
+        offer(queue, "a", cost=1_000.0)
+    for step in range(1, 6):
+        drain(queue, 1, step * 0.2)
+    for _ in range(3):
+        offer(queue, "a", cost=1_000.0, now_s=1.0)
+    refused = offer(queue, "a", cost=1_000.0, now_s=1.0)
+    # 8 requests wait and one starts each 0.2 s; the target leaves 0.7 x 1.8 s for the queue.
+    assert isinstance(refused, admission.Refused)
+    assert refused.reason is admission.Reason.TARGET
+    assert refused.retry_after_s == pytest.approx(0.5, abs=0.15)
+
+
+def test_full_queue_gives_up_the_lowest_class():
+    queue = admission.new_admission_queue(limit=3)
+    for name in ("batch", "quote", "quote"):
+        offer(queue, "a", name)
+    result = offer(queue, "a")
+    assert isinstance(result, admission.Queued)
+    assert result.displaced is not None
+    assert result.displaced.ticket.class_of_work is BATCH
+    refused = offer(queue, "a", "batch")
+    assert isinstance(refused, admission.Refused)
+    assert refused.reason is admission.Reason.QUEUE_FULL
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("abc"),
+            strategies.sampled_from(["quote", "batch"]),
+            strategies.sampled_from(["offer", "take", "cancel", "expire"]),
+            strategies.floats(0.0, 8.0),
+            strategies.floats(0.0, 50_000.0),
+        )
+    )
+)
+def test_every_request_leaves_once(steps: list[tuple[str, str, str, float, float]]):
+    queue = admission.new_admission_queue(limit=5)
+    now_s, waiting = 0.0, set[int]()
+    for organisation, name, action, passed_s, cost in steps:
+        now_s += passed_s
+        if action == "offer":
+            result = offer(queue, organisation, name, cost, now_s)
+            if isinstance(result, admission.Queued):
+                waiting.add(result.ticket.number)
+                if result.displaced:
+                    waiting.remove(result.displaced.ticket.number)
+        elif action == "expire":
+            waiting -= {ticket.number for ticket in queue.expire(now_s)}
+        elif ticket := queue.next_ready(MODEL, now_s):
+            assert (queue.take if action == "take" else queue.cancel)(ticket, now_s)
+            waiting.remove(ticket.number)
+        assert len(queue) == len(waiting) <= 5
+    assert {t.number for t in drain(queue, 9, now_s)} == waiting
