--- /dev/null
+++ b/packages/command/src/gentianpaddle_command/_demo_system.py
@@ -0,0 +1,225 @@
+"""The system that the demo runs in one process on loopback."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import socket
+
+from gentianpaddle_core import ids, settings
+from gentianpaddle_daemon.agent import process as agent_process
+from gentianpaddle_daemon.entry import process as entry_process
+from gentianpaddle_standins import (
+    engine,
+    http_server,
+    object_server,
+    object_store,
+    plain_service,
+)
+
+DATA_CENTRES = ("shah-alam", "petaling-jaya")
+REGION = "selangor"
+ENTRIES_PER_DATA_CENTRE = 2
+ENGINES_PER_DATA_CENTRE = 3
+ENGINE_CAPACITY = 12
+WARM_UP_S = 2.0
+ENTRY_TTL_S = 1.0
+OPERATOR_TOKEN = "demo-operator"
+SHARED_TOKEN = "demo-shared"
+ORGANISATIONS = ("sri-lantai", "kota-screed", "small-crew")
+
+DECLARATION = """
+[classes.confirmation]
+first_token_s = 2.0
+share = 0.95
+deadline_s = 15
+
+[classes.quote]
+first_token_s = 1.8
+token_gap_ms = 27
+share = 0.95
+deadline_s = 20
+
+[classes.crew-briefing]
+first_token_s = 4.0
+token_gap_ms = 60
+share = 0.9
+deadline_s = 30
+
+[models.drafter]
+version = "1"
+
+[services.booking]
+idempotent_methods = ["GET"]
+
+[data_centres.shah-alam]
+region = "selangor"
+
+[data_centres.petaling-jaya]
+region = "selangor"
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """A stand-in engine and where it runs."""
+
+    data_centre: str
+    """Its data centre."""
+    engine: engine.Engine
+    """The engine."""
+    server: http_server.BackgroundServer
+    """Its HTTP server."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Booking:
+    """A stand-in booking service and where it runs."""
+
+    data_centre: str
+    """Its data centre."""
+    service: plain_service.BookingService
+    """The service."""
+    server: http_server.BackgroundServer
+    """Its HTTP server."""
+
+
+class System:
+    """Everything that the demo starts."""
+
+    def __init__(self) -> None:
+        self.store = object_store.ObjectStore()
+        self.object_server = object_server.ObjectServer(self.store)
+        self.object_server.start()
+        self.engines = [
+            _engine(f"{centre}-engine-{number}", centre)
+            for centre in DATA_CENTRES
+            for number in range(1, ENGINES_PER_DATA_CENTRE + 1)
+        ]
+        self.bookings = [_booking(centre) for centre in DATA_CENTRES]
+        self.entries: list[entry_process.EntryProcess] = []
+        self.entry_urls: list[str] = []
+        self.agents: list[agent_process.AgentProcess] = []
+        self._peers = tuple(
+            settings.Address("127.0.0.1", _free_port())
+            for _ in range(len(DATA_CENTRES) * ENTRIES_PER_DATA_CENTRE)
+        )
+
+    def start(self) -> None:
+        """Start all entries and agents."""
+        for number, address in enumerate(self._peers):
+            centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            self._start_entry(f"{centre}-entry-{number + 1}", centre, address)
+        for each in self.engines:
+            self._start_agent(each.engine.options.name, each.data_centre, each.server.url, "engine")
+        for number, booking in enumerate(self.bookings):
+            name = f"{booking.data_centre}-booking-{number + 1}"
+            self._start_agent(name, booking.data_centre, booking.server.url, "service")
+
+    def stop(self) -> None:
+        """Stop all processes."""
+        for entry in self.entries:
+            entry.kill()
+        for agent in self.agents:
+            agent.kill()
+        for each in self.engines:
+            each.server.stop()
+        for booking in self.bookings:
+            booking.server.stop()
+        self.object_server.stop()
+
+    def _process(
+        self, name: str, centre: str, address: settings.Address
+    ) -> settings.ProcessSettings:
+        return settings.ProcessSettings(
+            vm=ids.VmId(name),
+            data_centre=ids.DataCentreId(centre),
+            region=ids.RegionId(REGION),
+            listen=address,
+            peers=self._peers,
+            object_api_url=f"http://127.0.0.1:{self.object_server.port}",
+            shared_tokens=(SHARED_TOKEN,),
+            log_format="key-value",
+        )
+
+    def _start_entry(self, name: str, centre: str, address: settings.Address) -> None:
+        http_address = settings.Address("127.0.0.1", _free_port())
+        own = settings.EntrySettings(
+            process=self._process(name, centre, address),
+            http=http_address,
+            operator_tokens=(OPERATOR_TOKEN,),
+            limits=settings.EntryLimits(1_000_000, 16_384, 128, 500, 10.0),
+        )
+        process = entry_process.new_entry_process(own, ttl_s=ENTRY_TTL_S)
+        process.start()
+        self.entries.append(process)
+        self.entry_urls.append(f"http://127.0.0.1:{http_address.port}")
+
+    def _start_agent(self, name: str, centre: str, url: str, kind: str) -> None:
+        address = settings.Address("127.0.0.1", _free_port())
+        is_engine = kind == "engine"
+        own = settings.AgentSettings(
+            process=self._process(f"{name}-vm", centre, address),
+            backend_server=ids.BackendServerId(name),
+            backend_url=url,
+            kind=kind,
+            targets=(ids.ModelName("drafter" if is_engine else "booking"),),
+            capacity_limit=ENGINE_CAPACITY,
+            expected_step_ms=25.0 if is_engine else 500.0,
+            checks_fence=False,
+            resumes=is_engine,
+        )
+        process = agent_process.new_agent_process(own)
+        process.start()
+        self.agents.append(process)
+
+
+def declaration_text() -> str:
+    """Return the declaration of the demo with the digests of its tokens.
+
+    Returns:
+        TOML text.
+    """
+    parts = [DECLARATION]
+    for organisation in ORGANISATIONS:
+        digest = hashlib.sha256(token_of(organisation).encode()).hexdigest()
+        parts.append(f'[organisations.{organisation}]\ntoken_sha256 = ["{digest}"]\n')
+    return "\n".join(parts)
+
+
+def token_of(organisation: str) -> str:
+    """Return the bearer token of an organisation of the demo.
+
+    Args:
+        organisation: Name of the organisation.
+
+    Returns:
+        Its token.
+    """
+    return f"demo-{organisation}"
+
+
+def _engine(name: str, centre: str) -> Engine:
+    options = engine.EngineOptions(name, capacity=ENGINE_CAPACITY, warm_up_s=WARM_UP_S)
+    stand_in = engine.Engine(options)
+    return Engine(centre, stand_in, engine.new_engine_server(stand_in))
+
+
+def _booking(centre: str) -> Booking:
+    service = plain_service.BookingService()
+    return Booking(centre, service, plain_service.new_service_server(service))
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def new_system() -> System:
+    """Create the stand-ins of the demo; `start` starts the processes.
+
+    Returns:
+        The system.
+    """
+    return System()
--- a/packages/core/src/gentianpaddle_core/admission.py
+++ b/packages/core/src/gentianpaddle_core/admission.py
@@ -361,6 +361,10 @@
         """Models with waiting requests."""
         return tuple(model for model, queue in self._queue_by_model.items() if queue.lanes())
 
+    def waiting(self, model: ids.ModelName) -> int:
+        """Number of requests that wait for a model."""
+        return sum(ticket.model == model for ticket in self._ticket_by_number.values())
+
     def offer(
         self,
         model: ids.ModelName,
--- a/packages/core/src/gentianpaddle_core/digest.py
+++ b/packages/core/src/gentianpaddle_core/digest.py
@@ -112,6 +112,10 @@
         entry = self.table.own.role is membership.Role.ENTRY
         return ENTRY_ROUND_S if entry else AGENT_ROUND_S
 
+    def revision_of(self, vm: ids.VmId) -> ids.Revision:
+        """Return the revision that a member last reported, 0 when none is known."""
+        return self._revision_by_peer.get(vm, ids.Revision(0))
+
     def announce(self, state: membership.State, now_s: float) -> None:
         """Announce a state of this process; follow with `build_requests(..., everyone=True)`.
 
--- a/packages/daemon/src/gentianpaddle_daemon/agent/backend.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/backend.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import http
 import json
 import threading
 import typing
@@ -158,7 +159,10 @@
 
     def _read(self, call: Call, response: urllib3.BaseHTTPResponse, listener: Listener) -> None:
         content_type = response.headers.get("Content-Type", "application/octet-stream")
-        if call.token_stream and response.status == 200:
+        if call.token_stream and response.status != http.HTTPStatus.OK:
+            listener.on_failure(True, f"http_{response.status}")
+            return
+        if call.token_stream:
             complete = _read_events(response, listener)
         else:
             complete = True
--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/process.py
@@ -0,0 +1,192 @@
+"""Process of the role agent: wires the blackboard, the service, the exchange and controllers."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import logging
+import random
+import time
+
+from gentianpaddle_core import (
+    blackboard,
+    capacity,
+    configuration,
+    crash_exchange,
+    digest,
+    ids,
+    ledger,
+    membership,
+    settings,
+)
+from grpclib import server as grpc_server
+
+from gentianpaddle_daemon import exchange, logs, loop_thread, metrics
+from gentianpaddle_daemon.agent import backend, runner, service
+
+LOAD_PERIOD_S = 0.5
+HEALTH_PERIOD_S = 0.5
+DRAIN_POLL_S = 0.05
+STOP_LIMIT_S = 600.0
+START_TIMEOUT_S = 10.0
+FAILED_CHECKS_LIMIT = 2
+"""Health checks that fail in a row before the backend server counts as lost."""
+
+_logger = logging.getLogger("gentianpaddle.agent")
+
+
+class AgentProcess:
+    """A running agent."""
+
+    def __init__(self, own: settings.AgentSettings) -> None:
+        self._loop = loop_thread.new_loop_thread(f"agent-{own.process.vm}")
+        self._metrics = metrics.new_metrics()
+        self._server = backend.new_http_backend(own.backend_url)
+        self._health_thread = concurrent.futures.ThreadPoolExecutor(1, "backend-health")
+        self._failed_checks = 0
+        self._check_now = asyncio.Event()
+        self.board = _new_blackboard(own)
+        self._attempts = runner.new_runner(
+            self.board, self._server, self._loop, self._metrics, self._check_now.set
+        )
+        self._service = service.AgentService(self.board, self._attempts, self._metrics)
+        self._exchange = exchange.PeerExchange(
+            self.board.exchanger,
+            own.process.shared_tokens,
+            self._metrics,
+            self._on_learned,
+            random.Random(self.board.incarnation),
+        )
+        self._grpc: grpc_server.Server | None = None
+
+    def start(self) -> None:
+        """Listen and begin to serve."""
+        self._loop.start()
+        self._loop.run(self._start(), START_TIMEOUT_S)
+
+    def stop(self, limit_s: float = STOP_LIMIT_S) -> None:
+        """Take no new work, finish what is in progress, then close.
+
+        Args:
+            limit_s: Longest wait for what is in progress.
+        """
+        self._loop.run(self._drain(limit_s), limit_s + START_TIMEOUT_S)
+        self.kill()
+
+    def kill(self) -> None:
+        """Close at once, as a crash would."""
+        if self._grpc is not None:
+            self._loop.call(self._grpc.close)
+        self._loop.stop()
+        self._attempts.close()
+        self._health_thread.shutdown(wait=False)
+
+    async def _start(self) -> None:
+        address = self.board.own.process.listen
+        # The server belongs to the event loop on which it is created.
+        self._grpc = grpc_server.Server([self._service, self._exchange])
+        await self._grpc.start(address.host, address.port)
+        for loop_body in (self._exchange.run, self._report_loads, self._check_health):
+            asyncio.get_running_loop().create_task(loop_body())
+        logs.event(_logger, "started", role="agent", incarnation=self.board.incarnation)
+
+    async def _drain(self, limit_s: float) -> None:
+        self.board.leaving = True
+        self._service.report_load()
+        logs.event(_logger, "leaving", running=self.board.capacity.running)
+        await self._exchange.announce(membership.State.LEAVING)
+        until_s = time.monotonic() + limit_s
+        while not self._service.drained() and time.monotonic() < until_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        # Lets the last messages leave the sockets before the streams are closed.
+        await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _report_loads(self) -> None:
+        while True:
+            self._service.report_load()
+            await asyncio.sleep(LOAD_PERIOD_S)
+
+    async def _check_health(self) -> None:
+        while True:
+            self._check_now.clear()
+            loop = asyncio.get_running_loop()
+            health = await loop.run_in_executor(self._health_thread, self._server.health)
+            self._apply_health(health)
+            try:
+                await asyncio.wait_for(self._check_now.wait(), HEALTH_PERIOD_S)
+            except TimeoutError:
+                continue
+
+    def _apply_health(self, health: backend.Health | None) -> None:
+        now_s = time.monotonic()
+        board = self.board
+        if health is None:
+            self._failed_checks += 1
+            if self._failed_checks == FAILED_CHECKS_LIMIT:
+                board.capacity.lose_engine(now_s)
+                logs.event(_logger, "backend_lost", logging.WARNING)
+                self._service.report_load()
+            return
+        self._failed_checks = 0
+        report = capacity.EngineReport(
+            incarnation=health.incarnation,
+            step_s=health.step_s or None,
+            running=board.capacity.running,
+        )
+        cause = board.capacity.observe_engine(now_s, report)
+        board.engine_incarnation = health.incarnation
+        board.step_s = health.step_s
+        board.waiting_tokens = health.waiting_tokens
+        if cause is not None:
+            logs.event(_logger, "backend_cold", logging.WARNING, cause=cause)
+            self._service.report_load()
+
+    def _on_learned(self, learned: digest.Learned) -> None:
+        exchanged = self.board.exchanger.configuration
+        if learned.configuration_changed:
+            document = configuration.Document(exchanged.revision, exchanged.document.decode())
+            result = self.board.configuration.offer(document)
+            logs.event(_logger, "configuration", revision=int(document.revision), result=result)
+            self._service.report_load()
+
+
+def _new_blackboard(own: settings.AgentSettings) -> blackboard.AgentBlackboard:
+    now_s = time.monotonic()
+    incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
+    places = capacity.new_capacity(
+        capacity.CapacitySettings(
+            maximum=own.capacity_limit, expected_step_s=own.expected_step_ms / 1_000
+        )
+    )
+    record = membership.MemberRecord(
+        vm=own.process.vm,
+        data_centre=own.process.data_centre,
+        host=own.process.listen.host,
+        port=own.process.listen.port,
+        role=membership.Role.AGENT,
+        incarnation=incarnation,
+        heartbeat=0,
+        state=membership.State.ALIVE,
+    )
+    table = membership.new_membership(record, now_s)
+    crashes = crash_exchange.new_crash_exchange()
+    return blackboard.AgentBlackboard(
+        own=own,
+        incarnation=incarnation,
+        capacity=places,
+        ledger=ledger.new_ledger(incarnation, places),
+        configuration=configuration.ConfigurationState(),
+        exchanger=digest.Exchanger(table, own.process.peers, crashes, now_s),
+    )
+
+
+def new_agent_process(own: settings.AgentSettings) -> AgentProcess:
+    """Create an agent.
+
+    Args:
+        own: Its settings.
+
+    Returns:
+        The process, not started.
+    """
+    return AgentProcess(own)
--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/service.py
@@ -0,0 +1,245 @@
+"""Service of an agent for entries: admission of attempts, cancellation, revocation and queries."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import time
+
+from gentianpaddle_core import blackboard, ids, ledger
+from grpclib import exceptions
+from grpclib import server as grpc_server
+
+from gentianpaddle_daemon import logs, metrics, security
+from gentianpaddle_daemon.agent import links, runner
+from gentianpaddle_daemon.wire import messages_grpc
+from gentianpaddle_daemon.wire import messages_pb2 as pb
+
+HELLO_TIMEOUT_S = 2.0
+
+_logger = logging.getLogger("gentianpaddle.agent.service")
+
+_STATE_BY_STATUS = {
+    ledger.KeyStatus.UNSEEN: pb.ATTEMPT_STATE_UNSEEN,
+    ledger.KeyStatus.RUNNING: pb.ATTEMPT_STATE_RUNNING,
+    ledger.KeyStatus.DONE: pb.ATTEMPT_STATE_DONE,
+    ledger.KeyStatus.FAILED: pb.ATTEMPT_STATE_FAILED,
+    ledger.KeyStatus.DROPPED: pb.ATTEMPT_STATE_FAILED,
+    ledger.KeyStatus.NOT_RUN: pb.ATTEMPT_STATE_REVOKED,
+}
+
+
+class AgentService(messages_grpc.AgentBase):
+    """Serves the streams of entries."""
+
+    def __init__(
+        self,
+        board: blackboard.AgentBlackboard,
+        attempts: runner.Runner,
+        process_metrics: metrics.Metrics,
+    ) -> None:
+        self._board = board
+        self._attempts = attempts
+        self._metrics = process_metrics
+        self.link_by_entry: dict[ids.VmId, links.EntryLink] = {}
+
+    async def Dispatch(  # noqa: N802 - named by the service definition
+        self, stream: grpc_server.Stream[pb.FromEntry, pb.FromAgent]
+    ) -> None:
+        """Serve the stream of one entry until it closes."""
+        security.require(stream.metadata, self._board.own.process.shared_tokens)
+        first = await asyncio.wait_for(stream.recv_message(), HELLO_TIMEOUT_S)
+        if first is None or first.WhichOneof("kind") != "hello":
+            return
+        link = self._open(first.hello)
+        await stream.send_message(pb.FromAgent(welcome=self._welcome()))
+        sender = asyncio.get_running_loop().create_task(_send_all(stream, link))
+        try:
+            await self._receive_all(stream, link)
+        finally:
+            sender.cancel()
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await sender
+            self._close(link)
+
+    async def Order(  # noqa: N802 - named by the service definition
+        self, stream: grpc_server.Stream[pb.OrderRequest, pb.OrderReply]
+    ) -> None:
+        """Serve a fenced order of the lease holder of a group."""
+        security.require(stream.metadata, self._board.own.process.shared_tokens)
+        await stream.recv_message()
+        await stream.send_message(pb.OrderReply(accepted=False, reason="unsupported"))
+
+    def report_load(self) -> None:
+        """Issue grants and send the load report to all entries."""
+        now_s = time.monotonic()
+        board = self._board
+        for grant in board.capacity.refresh(now_s):
+            link = self.link_by_entry.get(grant.entry)
+            if link is not None:
+                load = self._load(grant.amount, grant.epoch)
+                self._metrics.control_bytes.add({"message": "load"}, load.ByteSize())
+                link.send(pb.FromAgent(load=load))
+
+    def drained(self) -> bool:
+        """Return whether nothing runs and all messages are sent."""
+        idle = not self._board.ledger.running()
+        return idle and all(link.drained() for link in self.link_by_entry.values())
+
+    async def _receive_all(
+        self, stream: grpc_server.Stream[pb.FromEntry, pb.FromAgent], link: links.EntryLink
+    ) -> None:
+        closed = asyncio.get_running_loop().create_task(link.closed.wait())
+        try:
+            while not link.closed.is_set():
+                receiving = asyncio.get_running_loop().create_task(stream.recv_message())
+                await asyncio.wait({receiving, closed}, return_when=asyncio.FIRST_COMPLETED)
+                if not receiving.done():
+                    receiving.cancel()
+                    return
+                message = receiving.result()
+                if message is None:
+                    return
+                self._handle(message, link)
+        except (exceptions.StreamTerminatedError, exceptions.GRPCError, OSError):
+            return
+        finally:
+            closed.cancel()
+
+    def _handle(self, message: pb.FromEntry, link: links.EntryLink) -> None:
+        kind = message.WhichOneof("kind")
+        if kind == "start":
+            self._start(message.start, link)
+        elif kind == "heartbeat":
+            self._heartbeat(message.heartbeat, link)
+        elif kind == "cancel":
+            self._cancel(message.cancel, link)
+        elif kind == "revoke":
+            self._revoke(message.revoke, link)
+        elif kind == "query":
+            self._query(message.query, link)
+
+    def _start(self, start: pb.Start, link: links.EntryLink) -> None:
+        now_s = time.monotonic()
+        decision = self._board.ledger.admit(now_s, _start_request(start, link, now_s), self._now())
+        if isinstance(decision, ledger.Declined):
+            self._metrics.attempts.inc({"result": "declined"})
+            logs.event(
+                _logger, "declined", key=start.key, attempt=start.attempt, reason=decision.reason
+            )
+            declined = pb.Declined(key=start.key, attempt=start.attempt, reason=decision.reason)
+            link.send(pb.FromAgent(declined=declined))
+            return
+        if decision.repeated:
+            self._query(pb.Query(key=start.key), link)
+            return
+        logs.event(_logger, "admitted", key=start.key, attempt=start.attempt, entry=link.entry)
+        link.send(pb.FromAgent(accepted=pb.Accepted(key=start.key, attempt=start.attempt)))
+        self._attempts.launch(start, link)
+
+    def _now(self) -> ledger.Conditions:
+        return ledger.Conditions(leaving=self._board.leaving, data_centre_out=self._board.is_out())
+
+    def _heartbeat(self, heartbeat: pb.Heartbeat, link: links.EntryLink) -> None:
+        board = self._board
+        revision = ids.Revision(heartbeat.revision)
+        if revision > board.out_revision:
+            board.out_revision = revision
+            board.out_by_entry = heartbeat.agent_out
+        board.capacity.hear(
+            time.monotonic(), link.entry, heartbeat.demand, heartbeat.acknowledged_grant_epoch
+        )
+
+    def _cancel(self, cancel: pb.Cancel, link: links.EntryLink) -> None:
+        key, attempt = ids.RequestKey(cancel.key), ids.Attempt(cancel.attempt)
+        self._board.ledger.cancel(time.monotonic(), link.entry, key, attempt)
+        self._attempts.cancel(key, attempt)
+
+    def _revoke(self, revoke: pb.Revoke, link: links.EntryLink) -> None:
+        key, attempt = ids.RequestKey(revoke.key), ids.Attempt(revoke.attempt)
+        effect = self._board.ledger.revoke(time.monotonic(), key, attempt)
+        before_start = effect is ledger.StopEffect.NOT_RUN
+        revoked = pb.Revoked(key=key, attempt=attempt, before_start=before_start)
+        link.send(pb.FromAgent(revoked=revoked))
+
+    def _query(self, query: pb.Query, link: links.EntryLink) -> None:
+        state = self._board.ledger.query(time.monotonic(), ids.RequestKey(query.key))
+        reply = pb.State(
+            key=query.key,
+            attempt=state.attempt or 0,
+            state=_STATE_BY_STATUS[state.status],
+        )
+        if state.outcome is not None and state.outcome.body is not None:
+            reply.body = state.outcome.body
+            reply.http_status = state.outcome.http_status
+            reply.content_type = state.outcome.content_type
+        elif state.status is ledger.KeyStatus.DONE:
+            # Without its body the outcome cannot be given again, so it must not look like one.
+            reply.state = pb.ATTEMPT_STATE_FAILED
+        link.send(pb.FromAgent(state=reply))
+
+    def _open(self, hello: pb.Hello) -> links.EntryLink:
+        entry = ids.VmId(hello.vm)
+        previous = self.link_by_entry.get(entry)
+        if previous is not None:
+            previous.closed.set()
+        link = links.new_entry_link(entry, ids.DataCentreId(hello.data_centre))
+        self.link_by_entry[entry] = link
+        self._board.capacity.hear(time.monotonic(), entry, demand=0)
+        asyncio.get_running_loop().call_soon(self.report_load)
+        return link
+
+    def _close(self, link: links.EntryLink) -> None:
+        link.closed.set()
+        self._attempts.link_closed(link)
+        if self.link_by_entry.get(link.entry) is link:
+            del self.link_by_entry[link.entry]
+            self._board.capacity.forget(time.monotonic(), link.entry)
+
+    def _welcome(self) -> pb.Welcome:
+        own = self._board.own
+        return pb.Welcome(
+            vm=own.process.vm,
+            incarnation=self._board.incarnation,
+            data_centre=own.process.data_centre,
+            region=own.process.region,
+            backend_server=own.backend_server,
+            targets=list(own.targets),
+            resumes=own.resumes,
+            checks_fence=own.checks_fence,
+        )
+
+    def _load(self, grant: int, epoch: int) -> pb.Load:
+        board = self._board
+        return pb.Load(
+            limit=board.capacity.limit,
+            running=board.capacity.running,
+            waiting_tokens=board.waiting_tokens,
+            grant=grant,
+            grant_epoch=epoch,
+            step_time_us=int(board.step_s * 1_000_000),
+            leaving=board.leaving,
+            out=board.is_out(),
+            revision=board.configuration.document.revision,
+            engine_incarnation=board.engine_incarnation,
+        )
+
+
+async def _send_all(
+    stream: grpc_server.Stream[pb.FromEntry, pb.FromAgent], link: links.EntryLink
+) -> None:
+    while True:
+        await stream.send_message(await link.next_message())
+
+
+def _start_request(start: pb.Start, link: links.EntryLink, now_s: float) -> ledger.StartRequest:
+    return ledger.StartRequest(
+        entry=link.entry,
+        key=ids.RequestKey(start.key),
+        attempt=ids.Attempt(start.attempt),
+        fingerprint=ids.Fingerprint(start.fingerprint),
+        expected_incarnation=ids.Incarnation(start.agent_incarnation),
+        deadline_s=now_s + start.deadline_ms / 1_000,
+        idempotent=start.idempotent,
+    )
--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
@@ -0,0 +1,112 @@
+"""Watch of the configuration in the object API, and changes of it by operators."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+import uuid
+from collections.abc import Callable
+from concurrent import futures
+
+from gentianpaddle_core import blackboard, configuration, ids, object_api
+
+from gentianpaddle_daemon import logs
+
+WATCH_WAIT_S = 2.0
+FAILURE_PAUSE_S = 0.5
+
+_logger = logging.getLogger("gentianpaddle.entry.configuration")
+
+
+class ConfigurationWatch:
+    """Keeps the configuration of this entry up to date from the object API."""
+
+    def __init__(
+        self,
+        board: blackboard.EntryBlackboard,
+        store: object_api.ObjectApi,
+        watch_thread: futures.Executor,
+        threads: futures.Executor,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._store = store
+        self._watch_thread = watch_thread
+        self._threads = threads
+        self._on_change = on_change
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            began_s = time.monotonic()
+            known = int(self._board.configuration.document.revision)
+            loop = asyncio.get_running_loop()
+            result = await loop.run_in_executor(
+                self._watch_thread,
+                self._store.watch,
+                configuration.CONFIGURATION_KEY,
+                known,
+                WATCH_WAIT_S,
+            )
+            if isinstance(result, object_api.StoredObject):
+                self._adopt(result, began_s)
+            else:
+                await asyncio.sleep(FAILURE_PAUSE_S)
+
+    async def change(self, base_revision: ids.Revision, text: str) -> configuration.ChangeResult:
+        """Propose a change.
+
+        Args:
+            base_revision: Revision that the author started from.
+            text: New document.
+
+        Returns:
+            What became of it.
+        """
+        base = await self._base(base_revision)
+        if not isinstance(base, configuration.Document):
+            return base
+        change = configuration.new_change(base, text, uuid.uuid4().hex)
+        step: configuration.ChangeStep = change.first_step()
+        loop = asyncio.get_running_loop()
+        began_s = time.monotonic()
+        while True:
+            if isinstance(step, configuration.WriteStep):
+                written = await loop.run_in_executor(
+                    self._threads, self._store.put, step.key, step.value, step.expected_version
+                )
+                step = change.after_write(written)
+            elif isinstance(step, configuration.ReadStep):
+                found = await loop.run_in_executor(self._threads, self._store.get, step.key)
+                step = change.after_read(found)
+            else:
+                break
+        if isinstance(step, configuration.ChangeAccepted):
+            self._offer(step.document, began_s)
+        return step
+
+    async def _base(
+        self, revision: ids.Revision
+    ) -> configuration.Document | configuration.ChangeNotAccepted | configuration.ChangeConflict:
+        present = self._board.configuration.document
+        if revision == present.revision:
+            return present
+        if revision == configuration.NO_REVISION:
+            return configuration.EMPTY_DOCUMENT
+        if revision < present.revision:
+            return configuration.conflict(configuration.Document(revision, ""), present)
+        return configuration.ChangeNotAccepted("this entry has not seen the base revision yet")
+
+    def _adopt(self, stored: object_api.StoredObject, read_s: float) -> None:
+        document = configuration.Document(ids.Revision(stored.version), stored.value.decode())
+        self._offer(document, read_s)
+
+    def _offer(self, document: configuration.Document, read_s: float) -> None:
+        board = self._board
+        result = board.configuration.offer(document)
+        board.exchanger.put_configuration(document.revision, document.text.encode(), read_s)
+        if result in (configuration.OfferResult.ADOPTED, configuration.OfferResult.INVALID):
+            logs.event(_logger, "configuration", revision=int(document.revision), result=result)
+        if result is configuration.OfferResult.ADOPTED:
+            self._on_change()
--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
@@ -0,0 +1,483 @@
+"""Serves requests of callers: admission, claim, routing, attempts, and the outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import http
+import logging
+import time
+
+from gentianpaddle_core import (
+    admission,
+    answer_stream,
+    blackboard,
+    ids,
+    outcomes,
+    prefix_index,
+    retries,
+    routing,
+)
+
+from gentianpaddle_daemon import logs, loop_thread
+from gentianpaddle_daemon.entry import (
+    agents,
+    attempt,
+    claiming,
+    figures,
+    request,
+    settlement,
+    sink,
+)
+
+RETRY_LOOK_S = 0.05
+FIRST_ATTEMPT = ids.Attempt(1)
+
+_logger = logging.getLogger("gentianpaddle.entry.dispatcher")
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A request in progress at this entry."""
+
+    checked: request.CallerRequest
+    """The request."""
+    answer: sink.AnswerSink
+    """Where its answer goes."""
+    routed: asyncio.Future[routing.Routed | outcomes.Refused | outcomes.NotRun]
+    """Resolved when its turn in the queue comes."""
+    wanted: routing.Request
+    """Its view for the router."""
+    stream: answer_stream.AnswerStream
+    """Its answer so far."""
+    number: ids.Attempt = FIRST_ATTEMPT
+    """Number of the present attempt."""
+    declines: int = 0
+    """Declines so far."""
+    may_have_run: bool = False
+    """Whether an attempt may have run without its whole answer."""
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+    """Answer of a plain service."""
+    timing: figures.Timing = dataclasses.field(default_factory=figures.Timing)
+    """Times of its tokens."""
+
+
+class Dispatcher:
+    """All requests of one entry."""
+
+    def __init__(
+        self,
+        board: blackboard.EntryBlackboard,
+        linked: agents.Agents,
+        claims: claiming.Claims,
+        recorder: figures.Recorder,
+        loop: loop_thread.LoopThread,
+    ) -> None:
+        self._board = board
+        self._agents = linked
+        self._claims = claims
+        self._recorder = recorder
+        self._loop = loop
+        self._pending_by_ticket: dict[int, Pending] = {}
+        self._settlement = settlement.Settlement(linked, claims)
+        self._pump_handle: asyncio.TimerHandle | None = None
+
+    def submit(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
+        """Begin to serve a request; called from a serving thread."""
+        self._loop.call(self._begin, checked, answer)
+
+    def capacity_changed(self) -> None:
+        """Give waiting requests their turn."""
+        for model in self._board.admission.models():
+            self._pump(model)
+
+    def expire(self) -> None:
+        """Refuse requests whose deadline passed while they waited."""
+        for ticket in self._board.admission.expire(time.monotonic()):
+            late = outcomes.NotRun("deadline", "no capacity before the deadline", 1.0)
+            self._resolve(ticket, late)
+
+    def _begin(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
+        self._board.in_progress += 1
+        task = self._loop.loop.create_task(self._serve(checked, answer))
+        if checked.idempotent:
+            answer.on_abandon(lambda: self._loop.call(task.cancel))
+
+    async def _serve(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
+        pending = self._new_pending(checked, answer)
+        try:
+            outcome = await self._outcome(pending)
+        except asyncio.CancelledError:
+            self._recorder.abandoned(checked)
+            raise
+        except Exception:
+            _logger.exception("internal_error", extra={"fields": {"key": checked.key}})
+            outcome = outcomes.Unknown("internal_error", "an internal error occurred")
+        finally:
+            self._board.in_progress -= 1
+        self._recorder.finished(checked, outcome, pending.timing, int(pending.number))
+        answer.put(sink.Finish(outcome))
+
+    def _new_pending(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> Pending:
+        prompt = f"{checked.target}\n{checked.prompt}".encode()
+        wanted = routing.Request(
+            model=checked.target,
+            fingerprint=checked.fingerprint,
+            class_of_work=checked.work_class,
+            arrived_s=checked.received_s,
+            prompt_tokens=checked.prompt_tokens if checked.is_chat else 0,
+            prefix_hashes=prefix_index.prefix_hashes(prompt) if checked.is_chat else (),
+        )
+        stream = answer_stream.new_answer_stream(
+            checked.key, ids.Attempt(1), resumable=checked.is_chat
+        )
+        return Pending(checked, answer, self._loop.loop.create_future(), wanted, stream)
+
+    async def _outcome(self, pending: Pending) -> outcomes.Outcome:
+        checked = pending.checked
+        if not checked.idempotent:
+            known = await self._known_outcome(checked)
+            if known is not None:
+                return known
+        first = await self._wait_turn(pending)
+        if not isinstance(first, routing.Routed):
+            return first
+        self._board.budget.first_attempt()
+        routed: routing.Routed = first
+        while True:
+            ended = await self._run_attempt(pending, routed)
+            pending.may_have_run |= isinstance(ended, attempt.MayHaveRun | attempt.Late)
+            result = await self._after(pending, routed, ended)
+            if not isinstance(result, routing.Routed):
+                return result
+            routed = result
+
+    async def _known_outcome(self, checked: request.CallerRequest) -> outcomes.Outcome | None:
+        found = await self._claims.look_up(checked.key)
+        if isinstance(found, claiming.Finished):
+            return _first_outcome(checked, found)
+        if isinstance(found, claiming.NotClaimed):
+            return outcomes.NotRun("store_unavailable", found.message, 1.0)
+        if isinstance(found, claiming.Held):
+            return await self._settle(checked, found.claim)
+        return None
+
+    async def _settle(
+        self, checked: request.CallerRequest, claim: claiming.ClaimRequest
+    ) -> outcomes.Outcome | None:
+        if claim.fingerprint != checked.fingerprint:
+            return _key_reused()
+        settled = await self._settlement.settle(claim, checked.deadline_s)
+        if isinstance(settled, outcomes.NotRun):
+            # The earlier claim was released, so this request may run now.
+            return None
+        return settled
+
+    async def _wait_turn(
+        self, pending: Pending
+    ) -> routing.Routed | outcomes.Refused | outcomes.NotRun:
+        checked = pending.checked
+        now_s = time.monotonic()
+        cost = float(checked.prompt_tokens + checked.answer_tokens) if checked.is_chat else 1.0
+        queue = self._board.admission
+        offered = queue.offer(checked.target, checked.organisation, checked.work_class, cost, now_s)
+        if isinstance(offered, admission.Refused):
+            return _turned_away(offered)
+        if offered.displaced is not None:
+            self._resolve(offered.displaced.ticket, _turned_away(offered.displaced.refused))
+        self._pending_by_ticket[offered.ticket.number] = pending
+        try:
+            self._pump(checked.target)
+            return await pending.routed
+        finally:
+            self._pending_by_ticket.pop(offered.ticket.number, None)
+            queue.cancel(offered.ticket, time.monotonic())
+
+    def _pump(self, model: ids.ModelName) -> None:
+        now_s = time.monotonic()
+        while True:
+            ticket = self._board.admission.next_ready(model, now_s)
+            if ticket is None:
+                return
+            pending = self._pending_by_ticket[ticket.number]
+            decision = self._board.router.choose(pending.wanted, now_s)
+            if isinstance(decision, routing.Wait):
+                self._agents.demand_rose()
+                self._pump_later(decision.until_s)
+                return
+            if isinstance(decision, routing.NoCapacity):
+                if now_s < ticket.deadline_s and decision.reason is routing.Reason.NO_SERVER:
+                    self._pump_later(now_s + RETRY_LOOK_S)
+                    return
+                self._board.admission.cancel(ticket, now_s)
+                self._log_refusal(pending, decision)
+                self._resolve(ticket, _no_capacity(decision))
+                continue
+            self._board.admission.take(ticket, now_s)
+            self._count_sent(pending, decision, now_s)
+            self._resolve(ticket, decision)
+
+    def _pump_later(self, at_s: float) -> None:
+        if self._pump_handle is not None:
+            self._pump_handle.cancel()
+        delay_s = max(0.001, at_s - time.monotonic())
+        self._pump_handle = self._loop.loop.call_later(delay_s, self.capacity_changed)
+
+    def _resolve(
+        self,
+        ticket: admission.Ticket,
+        result: routing.Routed | outcomes.Refused | outcomes.NotRun,
+    ) -> None:
+        pending = self._pending_by_ticket.get(ticket.number)
+        if pending is not None and not pending.routed.done():
+            pending.routed.set_result(result)
+
+    def _count_sent(self, pending: Pending, routed: routing.Routed, now_s: float) -> None:
+        self._board.router.sent(
+            routed.backend_server,
+            (pending.checked.key, pending.number),
+            pending.wanted,
+            routed.uncached_tokens,
+            now_s,
+        )
+        checked = pending.checked
+        logs.event(
+            _logger,
+            "routed",
+            key=checked.key,
+            attempt=pending.number,
+            class_name=checked.work_class.name,
+            organisation=checked.organisation,
+            backend_server=routed.backend_server,
+            reason=routed.reason,
+            candidates=routed.candidates,
+            predicted_first_token_s=routed.first_token_s,
+            predicted_gap_s=routed.gap_s,
+        )
+
+    def _log_refusal(self, pending: Pending, decision: routing.NoCapacity) -> None:
+        logs.event(
+            _logger,
+            "not_routed",
+            key=pending.checked.key,
+            class_name=pending.checked.work_class.name,
+            organisation=pending.checked.organisation,
+            reason=decision.reason,
+            retry_after_s=decision.retry_after_s,
+        )
+
+    async def _run_attempt(
+        self, pending: Pending, routed: routing.Routed
+    ) -> attempt.Ended | outcomes.Outcome:
+        agent = self._board.vm_by_backend_server[routed.backend_server]
+        sent = (pending.checked.key, pending.number)
+        try:
+            through = self._agents.link_to(agent)
+            if through is None:
+                return attempt.ProvenNotRun("link_closed", declined=False)
+            claim = self._claim_request(pending, agent)
+            if not pending.checked.idempotent:
+                refusal = await self._claim(pending, claim)
+                if refusal is not None:
+                    return refusal
+            plan = self._plan(pending, claim)
+            running = attempt.Attempt(
+                plan, through, pending.stream, lambda d, n: self._deliver(pending, routed, d, n)
+            )
+            ended = await running.run(self._patience_s(pending, routed))
+            if pending.checked.idempotent:
+                return ended
+            return await self._finish_claim(pending, claim, ended)
+        finally:
+            gap_s = pending.timing.gap_s()
+            self._board.router.finished(routed.backend_server, sent, gap_s, time.monotonic())
+            self._loop.loop.call_soon(self.capacity_changed)
+
+    def _claim_request(self, pending: Pending, agent: ids.VmId) -> claiming.ClaimRequest:
+        checked = pending.checked
+        incarnation = self._agents.incarnation_of(agent)
+        return claiming.ClaimRequest(
+            checked.key, checked.fingerprint, pending.number, agent, incarnation
+        )
+
+    async def _claim(
+        self, pending: Pending, claim: claiming.ClaimRequest
+    ) -> outcomes.Outcome | None:
+        result = await self._claims.claim(claim)
+        if isinstance(result, claiming.Won):
+            return None
+        if isinstance(result, claiming.Finished):
+            return _first_outcome(pending.checked, result)
+        if isinstance(result, claiming.Held):
+            settled = await self._settle(pending.checked, result.claim)
+            message = "another call with this key was in progress and did not run"
+            return settled or outcomes.NotRun("key_in_progress", message, 1.0)
+        # An unsettled claim is not sent, so the call does not run whatever the log holds.
+        return outcomes.NotRun("store_unavailable", result.message, 1.0)
+
+    async def _finish_claim(
+        self, pending: Pending, claim: claiming.ClaimRequest, ended: attempt.Ended
+    ) -> attempt.Ended | outcomes.Outcome:
+        if isinstance(ended, attempt.Completed):
+            done = outcomes.Done(bytes(pending.body), ended.content_type, ended.http_status)
+            if not await self._claims.finish(claim, done):
+                self._settlement.finish_later(claim, done)
+            return done
+        if isinstance(ended, attempt.ProvenNotRun):
+            if not await self._claims.release(claim):
+                self._settlement.release_later(claim)
+                return outcomes.NotRun("store_unavailable", "the call did not run", 1.0)
+            return ended
+        settled = await self._settlement.settle(claim, pending.checked.deadline_s)
+        if isinstance(settled, outcomes.Unknown):
+            self._settlement.settle_later(claim)
+        return settled
+
+    def _plan(self, pending: Pending, claim: claiming.ClaimRequest) -> attempt.Plan:
+        resumed = pending.stream.delivered_bytes > 0
+        return attempt.Plan(
+            checked=pending.checked,
+            number=pending.number,
+            incarnation=claim.incarnation,
+            delivered_text=pending.timing.text() if resumed else "",
+            priority=admission.priority(pending.checked.work_class),
+            isolated=False,
+        )
+
+    def _patience_s(self, pending: Pending, routed: routing.Routed) -> float:
+        """Time at which an attempt without a first token is replaced, within the budget."""
+        expected_s = max(retries.HEDGE_MINIMUM_S, retries.HEDGE_FACTOR * routed.first_token_s)
+        longest_s = max(expected_s, pending.checked.work_class.first_token_s)
+        return time.monotonic() + longest_s
+
+    def _deliver(self, pending: Pending, routed: routing.Routed, data: bytes, tokens: int) -> None:
+        now_s = time.monotonic()
+        first = pending.timing.add(data, tokens, now_s)
+        if first:
+            sent = (pending.checked.key, pending.number)
+            self._board.router.first_token(routed.backend_server, sent, now_s)
+        if pending.checked.is_chat:
+            pending.answer.put(sink.Piece(data))
+        else:
+            pending.body += data
+
+    async def _after(
+        self,
+        pending: Pending,
+        routed: routing.Routed,
+        ended: attempt.Ended | outcomes.Outcome,
+    ) -> routing.Routed | outcomes.Outcome:
+        checked = pending.checked
+        if isinstance(ended, attempt.Completed):
+            return outcomes.Done(bytes(pending.body), ended.content_type, ended.http_status)
+        if isinstance(ended, attempt.Rejected):
+            return outcomes.Refused("backend_rejected", f"the backend said {ended.reason}")
+        if isinstance(ended, attempt.Late):
+            return _late(pending)
+        if not isinstance(ended, attempt.ProvenNotRun | attempt.MayHaveRun):
+            return ended
+        if len(pending.body) > 0 and not checked.is_chat:
+            pending.body.clear()
+        return await self._retry(pending, routed, ended)
+
+    async def _retry(
+        self,
+        pending: Pending,
+        routed: routing.Routed,
+        ended: attempt.ProvenNotRun | attempt.MayHaveRun,
+    ) -> routing.Routed | outcomes.Outcome:
+        checked = pending.checked
+        declined = isinstance(ended, attempt.ProvenNotRun) and ended.declined
+        pending.declines += declined
+        ending = retries.Ending.FAILED
+        if isinstance(ended, attempt.ProvenNotRun):
+            ending = retries.Ending.DECLINED if declined else retries.Ending.NOT_RUN
+        allowed = self._board.budget.after(
+            ending,
+            idempotent=checked.idempotent,
+            declines=pending.declines,
+            deadline_s=checked.deadline_s,
+            expected_s=routed.first_token_s,
+            now_s=time.monotonic(),
+        )
+        logs.event(
+            _logger,
+            "attempt_ended",
+            key=checked.key,
+            attempt=pending.number,
+            reason=ended.reason,
+            retry=isinstance(allowed, retries.Retry),
+        )
+        if isinstance(allowed, retries.GiveUp):
+            return _given_up(pending, ended.reason, allowed)
+        return await self._route_again(pending, routed)
+
+    async def _route_again(
+        self, pending: Pending, routed: routing.Routed
+    ) -> routing.Routed | outcomes.Outcome:
+        pending.number = ids.Attempt(pending.number + 1)
+        resumed = pending.stream.resume(pending.number) if pending.checked.is_chat else None
+        if isinstance(resumed, answer_stream.NotResumable):
+            return outcomes.Unknown("not_resumable", "the answer cannot be continued")
+        if not pending.checked.is_chat:
+            pending.stream = answer_stream.new_answer_stream(
+                pending.checked.key, pending.number, resumable=False
+            )
+        tried = pending.wanted.tried | {routed.backend_server}
+        pending.wanted = dataclasses.replace(pending.wanted, tried=tried)
+        while True:
+            now_s = time.monotonic()
+            decision = self._board.router.choose(pending.wanted, now_s)
+            if isinstance(decision, routing.Routed) and self._can_continue(pending, decision):
+                self._count_sent(pending, decision, now_s)
+                return decision
+            if now_s >= pending.checked.deadline_s:
+                return _late(pending)
+            if isinstance(decision, routing.NoCapacity) and pending.wanted.tried:
+                # All servers were tried once; what failed before may serve again by now.
+                pending.wanted = dataclasses.replace(pending.wanted, tried=frozenset())
+            await asyncio.sleep(RETRY_LOOK_S)
+
+    def _can_continue(self, pending: Pending, routed: routing.Routed) -> bool:
+        if pending.stream.delivered_bytes == 0:
+            return True
+        return self._agents.can_resume(self._board.vm_by_backend_server[routed.backend_server])
+
+
+def _turned_away(refused: admission.Refused) -> outcomes.Refused:
+    return outcomes.Refused(
+        f"admission_{refused.reason}",
+        "not enough capacity for this class now",
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        refused.retry_after_s,
+    )
+
+
+def _no_capacity(decision: routing.NoCapacity) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        f"no_capacity_{decision.reason}", "no backend server can serve it", decision.retry_after_s
+    )
+
+
+def _key_reused() -> outcomes.Refused:
+    message = "this Idempotency-Key was used for another request"
+    return outcomes.Refused("key_reused", message, http.HTTPStatus.UNPROCESSABLE_ENTITY)
+
+
+def _first_outcome(
+    checked: request.CallerRequest, found: claiming.Finished
+) -> outcomes.Done | outcomes.Refused:
+    return found.outcome if found.fingerprint == checked.fingerprint else _key_reused()
+
+
+def _late(pending: Pending) -> outcomes.NotRun | outcomes.Unknown:
+    if pending.may_have_run:
+        return outcomes.Unknown("deadline", "no whole answer before the deadline")
+    return outcomes.NotRun("deadline", "no backend server ran it before the deadline", 1.0)
+
+
+def _given_up(pending: Pending, reason: str, why: retries.GiveUp) -> outcomes.Outcome:
+    code = f"{reason}_{why.reason}"
+    if pending.may_have_run:
+        return outcomes.Unknown(code, "it may have run without a whole answer", 1.0)
+    return outcomes.NotRun(code, "no backend server ran it", 1.0)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/front.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/front.py
@@ -13,7 +13,7 @@
 
 import urllib3.util
 from cheroot import errors, wsgi
-from gentianpaddle_core import declarations, outcomes, settings
+from gentianpaddle_core import declarations, ids, outcomes, settings
 
 from gentianpaddle_daemon.entry import request, responses, sink
 
@@ -110,6 +110,18 @@
         return serve(checked, answer, start_response)
 
 
+def organisation_of(
+    environ: Environ, declaration: declarations.Declaration
+) -> ids.OrganisationId | None:
+    """Return the organisation that sent a request, None for an unknown token.
+
+    Args:
+        environ: WSGI environment.
+        declaration: Declaration in force.
+    """
+    return request.organisation_of(environ.get("HTTP_AUTHORIZATION", ""), declaration)
+
+
 def read_body(environ: Environ, limit_bytes: int) -> bytes | outcomes.Refused:
     """Read the body of a request within its limit.
 
--- a/packages/daemon/src/gentianpaddle_daemon/entry/link.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/link.py
@@ -57,6 +57,7 @@
         self._on_change = on_change
         self._outgoing: asyncio.Queue[pb.FromEntry] = asyncio.Queue(OUTGOING_LIMIT)
         self._inbox_by_attempt: dict[tuple[str, int], asyncio.Queue[Inbound]] = {}
+        self._query_by_key: dict[str, asyncio.Queue[Inbound]] = {}
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -109,6 +110,23 @@
         """Drop further messages of an attempt."""
         self._inbox_by_attempt.pop((key, attempt), None)
 
+    def open_query(self, key: str) -> asyncio.Queue[Inbound]:
+        """Create the queue that receives the state of a key.
+
+        Args:
+            key: Request key.
+
+        Returns:
+            The queue; the caller closes it with `close_query`.
+        """
+        inbox: asyncio.Queue[Inbound] = asyncio.Queue()
+        self._query_by_key[key] = inbox
+        return inbox
+
+    def close_query(self, key: str) -> None:
+        """Drop further states of a key."""
+        self._query_by_key.pop(key, None)
+
     async def _run(self) -> None:
         wait_s = FIRST_RECONNECT_S
         while True:
@@ -170,6 +188,9 @@
     def _deliver(self, message: pb.FromAgent) -> None:
         kind = message.WhichOneof("kind")
         body: typing.Any = getattr(message, kind) if kind else None
+        if kind == "state" and body.key in self._query_by_key:
+            self._query_by_key[body.key].put_nowait(message)
+            return
         if hasattr(body, "attempt"):
             inbox = self._inbox_by_attempt.get((body.key, body.attempt))
             if inbox is not None:
@@ -183,7 +204,7 @@
         self.welcome = None
         # What was queued was never sent on this stream and must not be sent on the next one.
         self._outgoing = asyncio.Queue(OUTGOING_LIMIT)
-        for inbox in self._inbox_by_attempt.values():
+        for inbox in (*self._inbox_by_attempt.values(), *self._query_by_key.values()):
             inbox.put_nowait(LinkLost(self.agent))
         logs.event(_logger, "link_lost", logging.WARNING, agent=self.agent)
         self._on_change(self)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/request.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/request.py
@@ -96,7 +96,7 @@
     Returns:
         The checked request, or why it is refused with a 4xx status.
     """
-    organisation = _organisation(raw.authorization, declaration)
+    organisation = organisation_of(raw.authorization, declaration)
     if organisation is None:
         return _refused("unauthorized", "unknown bearer token", http.HTTPStatus.UNAUTHORIZED)
     work_class = declaration.class_by_name.get(ids.ClassName(raw.class_name))
@@ -129,9 +129,18 @@
     return ids.RequestKey(f"{organisation}/{idempotency_key}")
 
 
-def _organisation(
+def organisation_of(
     authorization: str, declaration: declarations.Declaration
 ) -> ids.OrganisationId | None:
+    """Return the organisation that a bearer token belongs to.
+
+    Args:
+        authorization: Value of the header `Authorization`.
+        declaration: Declaration in force.
+
+    Returns:
+        The organisation, None for an unknown token.
+    """
     scheme, _, token = authorization.partition(" ")
     if scheme.lower() != "bearer" or not token:
         return None
