Pace the stand-in engine by a schedule

Cause: the stand-in slept a whole step after each write, so a busy client process made its steps look longer than they are. Change: steps follow due times.

--- a/packages/standins/src/gentianpaddle_standins/engine.py
+++ b/packages/standins/src/gentianpaddle_standins/engine.py
@@ -117,6 +117,7 @@
         position = 0
         try:
             time.sleep(self.options.first_token_s)
+            due_s = time.monotonic()
             for index in range(tokens):
                 piece = answers.token(prompt, index)
                 position += len(piece)
@@ -126,7 +127,9 @@
                     raise ConnectionResetError("the engine crashed")
                 fresh = piece[max(0, len(piece) - (position - delivered)) :]
                 yield _event({"choices": [{"index": 0, "delta": {"content": fresh}}]})
-                time.sleep(self._step_s())
+                # Steps follow a schedule: writing to a client does not slow an engine down.
+                due_s += self._step_s()
+                time.sleep(max(0.0, due_s - time.monotonic()))
             yield b"data: [DONE]\n\n"
         finally:
             with self._lock:
