--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -258,6 +258,11 @@
         entry = self._entry_by_id.get(server)
         return 0 if entry is None else entry.score.outstanding
 
+    def room(self, server: ids.BackendServerId) -> int:
+        """Further requests that may be sent to a server now, 0 when it may get no work."""
+        entry = self._entry_by_id.get(server)
+        return 0 if entry is None or not self._eligible(entry) else max(0, entry.score.room)
+
     def choose(self, request: Request, now_s: float) -> Decision:
         """Choose a backend server; changes nothing.
 
