Wait for a server that meets the target between tokens

Cause: at 95 % load requests of strict classes went to the slow server as soon as it was the only one with room. Change: when every server with room misses the target and a full one would meet it, the request waits while its first-token target still can be met; the queue passes over its class, so another class can use the slow server.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -138,10 +138,12 @@
             if not self._try(self._again[0]):
                 break
             self._again.pop(0)
-        while (ready := self._queue.next_ready(MODEL, now_s)) is not None:
+        passed_over = frozenset[ids.ClassName]()
+        while (ready := self._queue.next_ready(MODEL, now_s, passed_over)) is not None:
             work = self._work_by_ticket[ready.number]
             if not self._try(work):
-                return
+                passed_over |= {ready.class_of_work.name}
+                continue
             self._queue.take(ready, now_s)
             del self._work_by_ticket[ready.number]
 
--- a/packages/core/src/gentianpaddle_core/admission.py
+++ b/packages/core/src/gentianpaddle_core/admission.py
@@ -313,8 +313,8 @@
         arriving = sum(lane.offered.rate(now_s) for lane in higher)
         return before / max(MINIMUM_SHARE * rate, rate - arriving)
 
-    def next(self, now_s: float) -> Ticket | None:
-        lanes = self.lanes()
+    def next(self, passed_over: frozenset[ids.ClassName], now_s: float) -> Ticket | None:
+        lanes = [lane for lane in self.lanes() if lane.class_of_work.name not in passed_over]
         heads = [(lane, lane.in_time(now_s)) for lane in lanes]
         for lane, ticket in heads:
             owed = ticket or lane.late()
@@ -406,10 +406,25 @@
         bisect.insort(self._deadlines, (ticket.deadline_s, ticket.number))
         return Queued(ticket, wait_s, displaced)
 
-    def next_ready(self, model: ids.ModelName, now_s: float) -> Ticket | None:
-        """Request of a model that goes next; it stays queued until `take`."""
+    def next_ready(
+        self,
+        model: ids.ModelName,
+        now_s: float,
+        passed_over: frozenset[ids.ClassName] = frozenset(),
+    ) -> Ticket | None:
+        """Request of a model that goes next; it stays queued until `take`.
+
+        Args:
+            model: Model or plain service.
+            now_s: Monotonic time.
+            passed_over: Classes whose next request waits for a faster server. What is free now
+                can still be good enough for the other classes.
+
+        Returns:
+            The request, None when nothing waits.
+        """
         queue = self._queue_by_model.get(model)
-        return None if queue is None else queue.next(now_s)
+        return None if queue is None else queue.next(passed_over, now_s)
 
     def take(self, ticket: Ticket, now_s: float) -> bool:
         """Remove a request that starts now; False when it is no longer queued."""
--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -388,6 +388,9 @@
             if best is None or (misses, cost) < best[:2]:
                 best = _Weighed(misses, cost, server, first_token_s, gap_s, uncached)
         assert best is not None
+        hopeful = best.first_token_s <= first_target_s
+        if best.misses and hopeful and self._full_one_meets(request, gap_target_s, now_s):
+            return Wait(now_s + RETRY_WAIT_S, Reason.TARGET_MISSED)
         if best.first_token_s > target.deadline_s - waited_s:
             after_s = best.first_token_s - (target.deadline_s - waited_s)
             return NoCapacity(max(RETRY_WAIT_S, after_s), Reason.DEADLINE)
@@ -401,6 +404,16 @@
             uncached_tokens=best.uncached_tokens,
         )
 
+    def _full_one_meets(self, request: Request, gap_target_s: float, now_s: float) -> bool:
+        """Whether a server without room now would meet the target between tokens."""
+        ring = self._ring_by_model[request.model]
+        for server in ring.candidates(request.fingerprint):
+            score = ring.entry_by_id[server].score
+            full = score.room <= 0 < score.load.limit and server not in request.tried
+            if full and score.gap_s(now_s) <= gap_target_s:
+                return True
+        return False
+
     def _distance(self, place: Place) -> str:
         if place.data_centre == self._place.data_centre:
             return "own"
