Smooth what other entries have at a server

Cause: all entries see the same report and sent to the server that was emptiest half a second ago; at half load the first token took longer than with round robin. Change: what others have there is smoothed over reports with weight 0.1; own requests are still counted exactly.

--- a/packages/core/src/gentianpaddle_core/scoring.py
+++ b/packages/core/src/gentianpaddle_core/scoring.py
@@ -16,6 +16,9 @@
 """Assumed age of a report on arrival. Own events in this span are taken as not yet reported."""
 RECENT_EVENTS_LIMIT = 4_096
 """Own events kept for matching with a report."""
+OTHERS_WEIGHT = 0.1
+"""Weight of a new report in what others have there. All entries see the same report, and without
+smoothing all of them would send to the server that was emptiest half a second ago."""
 RATIO_LIMITS = (0.25, 8.0)
 """Bounds of a learned ratio, so that one wild observation cannot ban a server."""
 RATIO_WEIGHT = 0.2
@@ -195,8 +198,11 @@
             self._events.popleft()
         later_running = sum(event[1] for event in self._events)
         later_tokens = sum(event[2] for event in self._events)
-        self._other_running = max(0.0, load.running - (self.outstanding - later_running))
-        self._other_tokens = max(0.0, load.waiting_tokens - (self._own_tokens - later_tokens))
+        weight = OTHERS_WEIGHT if self.reported_s >= 0 else 1.0
+        running = load.running - (self.outstanding - later_running)
+        self._other_running += weight * (running - self._other_running)
+        tokens = load.waiting_tokens - (self._own_tokens - later_tokens)
+        self._other_tokens += weight * (tokens - self._other_tokens)
         self.load = load
         self.reported_s = now_s
         self.room = load.grant - self.outstanding
@@ -216,16 +222,16 @@
         Returns:
             Seconds, the way there and back included.
         """
-        ahead = self._other_tokens + self._own_tokens + uncached_tokens
+        ahead = max(0.0, self._other_tokens) + self._own_tokens + uncached_tokens
         local_s = self._lines.first_token.at(ahead) * self._first_ratio.at(now_s)
-        excess = self._other_running + len(self._sent_by_attempt) + 1 - self.load.limit
+        excess = max(0.0, self._other_running) + len(self._sent_by_attempt) + 1 - self.load.limit
         if excess > 0:
             local_s += excess * self._service_s / max(1, self.load.limit)
         return self._round_trip_s + local_s
 
     def gap_s(self, now_s: float) -> float:
         """Expected seconds between tokens of a request that would be sent now."""
-        running = self._other_running + len(self._sent_by_attempt) + 1
+        running = max(0.0, self._other_running) + len(self._sent_by_attempt) + 1
         return self._lines.gap.at(running) * self._gap_ratio.at(now_s)
 
     def work_s(self, uncached_tokens: float) -> float:
@@ -240,8 +246,8 @@
             own_tokens: Prompt tokens that are expected not to be cached.
             now_s: Monotonic time.
         """
-        ahead = self._other_tokens + self._own_tokens + own_tokens
-        running = self._other_running + self.outstanding + 1
+        ahead = max(0.0, self._other_tokens) + self._own_tokens + own_tokens
+        running = max(0.0, self._other_running) + self.outstanding + 1
         self._sent_by_attempt[attempt] = _Sent(now_s, ahead, own_tokens, running)
         self.room -= 1
         self._own_tokens += own_tokens
