--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -27,8 +27,6 @@
 """Wait before the next look when no event is known that frees capacity."""
 NO_SERVER_RETRY_AFTER_S = 2.0
 """Advice to callers while no server of a model is available."""
-DEFAULT_ONE_WAY_S = {"own": 0.0001, "region": 0.001, "other": 0.02}
-"""Delay to a server in the own data centre, in the own region and elsewhere."""
 HASH_MASK = (1 << 64) - 1
 
 
@@ -42,6 +40,21 @@
     DEAD = "dead"
 
 
+class Distance(enum.StrEnum):
+    """How far apart two processes are."""
+
+    OWN = "own"
+    """In one data centre."""
+    REGION = "region"
+    """In one region."""
+    OTHER = "other"
+    """In different regions."""
+
+
+DEFAULT_ONE_WAY_S = {Distance.OWN: 0.000_1, Distance.REGION: 0.001, Distance.OTHER: 0.02}
+"""Delay to a server where it is not measured."""
+
+
 class Reason(enum.StrEnum):
     """Why a server was chosen or none was."""
 
@@ -71,6 +84,13 @@
     """Its region."""
 
 
+def distance(one: Place, other: Place) -> Distance:
+    """How far apart two places are."""
+    if one.data_centre == other.data_centre:
+        return Distance.OWN
+    return Distance.REGION if one.region == other.region else Distance.OTHER
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
     """A backend server that this entry is linked to."""
@@ -230,7 +250,7 @@
             return
         one_way_s = server.one_way_s
         if one_way_s is None:
-            one_way_s = DEFAULT_ONE_WAY_S[self._distance(server.place)]
+            one_way_s = DEFAULT_ONE_WAY_S[distance(self._place, server.place)]
         lines = self._lines_by_model.setdefault(server.targets[0], scoring.new_model_lines())
         entry = _Entry(server, scoring.new_server_score(lines, one_way_s))
         self._entry_by_id[server.id] = entry
@@ -414,11 +434,6 @@
                 return True
         return False
 
-    def _distance(self, place: Place) -> str:
-        if place.data_centre == self._place.data_centre:
-            return "own"
-        return "region" if place.region == self._place.region else "other"
-
     def _eligible(self, entry: _Entry) -> bool:
         load = entry.score.load
         return not (
