--- a/packages/core/src/gentianpaddle_core/day_figures.py
+++ b/packages/core/src/gentianpaddle_core/day_figures.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 import http
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from gentianpaddle_core import histograms, ids, outcomes
 
@@ -250,11 +250,16 @@
 
 
 class PartSet:
-    """Collects parts of one day; order and repetition do not matter."""
+    """Collects parts of one day; order and repetition do not matter.
+
+    Only the totals of closed parts are kept, because all parts of a day at the design size do not
+    fit into the memory of an entry.
+    """
 
     def __init__(self, date: str) -> None:
         self.date = date
         self.part_by_id: dict[PartId, Part] = {}
+        self._closed = Content()
 
     def add(self, part: Part) -> None:
         """Add a part.
@@ -263,32 +268,36 @@
             part: Any writing of any part; parts of other days are ignored.
         """
         known = self.part_by_id.get(part.id)
-        if part.date == self.date and (known is None or part.serial > known.serial):
-            self.part_by_id[part.id] = part
-
-    def merge(self, other: PartSet) -> None:
-        """Add all parts of another set.
-
-        Args:
-            other: Set that stays as it is.
-        """
-        for part in other.part_by_id.values():
-            self.add(part)
+        if part.date != self.date or (
+            known is not None and (known.closed or known.serial >= part.serial)
+        ):
+            return
+        if part.closed:
+            self._closed.merge(part.content)
+            part = dataclasses.replace(part, content=Content())
+        self.part_by_id[part.id] = part
 
     def figures(
-        self, as_of_s: float = DAY_S, expected_vms: Iterable[ids.VmId] = (), day_s: float = DAY_S
+        self,
+        as_of_s: float = DAY_S,
+        expected_vms: Iterable[ids.VmId] = (),
+        gone_s_by_vm: Mapping[ids.VmId, float] | None = None,
+        day_s: float = DAY_S,
     ) -> DayFigures:
         """Merge the parts.
 
         Args:
             as_of_s: Time of reading in seconds since the start of the day.
             expected_vms: VMs that must have reported.
+            gone_s_by_vm: VMs that the platform ended without a final report, with the time from
+                which they provably ran no more. Silence towards peers is no such proof.
             day_s: Length of the day; not 24 hours when clocks change.
 
         Returns:
             Totals, and what is not known.
         """
         content = Content()
+        content.merge(self._closed)
         parts_by_vm: dict[ids.VmId, list[Part]] = {}
         for part_id in sorted(self.part_by_id):
             part = self.part_by_id[part_id]
@@ -303,7 +312,9 @@
             if not last.final and running:
                 known_until_s = min(known_until_s, last.until_s)
             elif not last.final:
-                gaps.append(Gap(vm, last.until_s, None, "no final report"))
+                gone_s = (gone_s_by_vm or {}).get(vm)
+                end_s = None if gone_s is None else max(gone_s, last.until_s)
+                gaps.append(Gap(vm, last.until_s, end_s, "no final report"))
         for vm in sorted(set(expected_vms) - set(parts_by_vm)):
             gaps.append(Gap(vm, 0.0, None, "no report at all"))
         return DayFigures(
