Serve the evening page and test the daemons as separate processes

Cause: the page was not wired, and nothing had run the binaries. Found by the test: 3 retried streams spent the whole retry budget on a restarting engine within 0.5 s and one ended as unknown. The agent now admits nothing from a broken call until its next health check.

--- a/packages/command/src/gentianpaddle_command/demo.py
+++ b/packages/command/src/gentianpaddle_command/demo.py
@@ -49,7 +49,7 @@
         _apply(entry)
         _wait_ready(system, entry)
         observations, out_s, back_s = _load(system, entry, seconds)
-        page = pathlib.Path("x")
+        page = _write_page(system, output)
         return _judge(system, observations, out_s, back_s, page)
     finally:
         system.stop()
@@ -124,8 +124,12 @@
     return [each for caller in callers for each in caller.observations], out_s, back_s
 
 
-def _write_page(entry: client.EntryClient, output: pathlib.Path) -> pathlib.Path:
-    answer = entry.get("/report?format=html")
+def _write_page(system: _demo_system.System, output: pathlib.Path) -> pathlib.Path:
+    answer: client.Answer | client.Unreachable = client.Unreachable("no entry", False)
+    # Each entry writes its latest figures when it is asked; the last page holds those of all.
+    for url in system.entry_urls:
+        entry = client.new_client((url,), _demo_system.OPERATOR_TOKEN)
+        answer = entry.get("/report?format=html")
     if isinstance(answer, client.Unreachable) or answer.status >= 300:
         raise click.ClickException(f"no evening page: {answer}")
     output.mkdir(parents=True, exist_ok=True)
--- a/packages/command/src/gentianpaddle_command/main.py
+++ b/packages/command/src/gentianpaddle_command/main.py
@@ -205,7 +205,7 @@
     if output is not None:
         page = session.payload(session.entry.get(f"/report?{query}format=html"))
         output.write_text(str(page), encoding="utf-8")
-    session.show(payload, str(payload["verdict"]))
+    session.show(payload, str(payload["verdict"]["sentence"]))
 
 
 @main.command()
--- a/packages/core/src/gentianpaddle_core/capacity.py
+++ b/packages/core/src/gentianpaddle_core/capacity.py
@@ -233,6 +233,14 @@
         self._remember(report)
         return cause
 
+    def suspend(self) -> None:
+        """Admit nothing until the next report, because a call has just broken.
+
+        Without this, entries would spend their retries on a server that is restarting. Unlike
+        `lose_engine` it keeps the limit, in case only that one call was at fault.
+        """
+        self._available = False
+
     def lose_engine(self, now_s: float) -> None:
         """Admit nothing until the engine reports again, then ramp from 1."""
         self.turn_cold(now_s, ColdCause.ENGINE_LOST)
--- a/packages/core/src/gentianpaddle_core/day_recorder.py
+++ b/packages/core/src/gentianpaddle_core/day_recorder.py
@@ -217,6 +217,14 @@
         )
         self._size += _EVENT_BYTES
 
+    def request_write(self, now_s: float) -> None:
+        """Make the next write due now, for a reader that wants the latest figures.
+
+        Args:
+            now_s: Seconds since the start of the day.
+        """
+        self._due_s = now_s
+
     def due(self, now_s: float) -> bool:
         """Return whether `next_write` has something to write now.
 
--- a/packages/daemon/src/gentianpaddle_daemon/agent/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/process.py
@@ -47,7 +47,7 @@
         self._check_now = asyncio.Event()
         self.board = _new_blackboard(own)
         self._attempts = runner.new_runner(
-            self.board, self._server, self._loop, self._metrics, self._check_now.set
+            self.board, self._server, self._loop, self._metrics, self._suspect_backend
         )
         self._service = service.AgentService(self.board, self._attempts, self._metrics)
         self._exchange = exchange.PeerExchange(
@@ -117,6 +117,11 @@
             except TimeoutError:
                 continue
 
+    def _suspect_backend(self) -> None:
+        self.board.capacity.suspend()
+        self._service.report_load()
+        self._check_now.set()
+
     def _apply_health(self, health: backend.Health | None) -> None:
         now_s = time.monotonic()
         board = self.board
@@ -133,12 +138,14 @@
             step_s=health.step_s or None,
             running=board.capacity.running,
         )
+        was_suspended = board.capacity.limit == 0
         cause = board.capacity.observe_engine(now_s, report)
         board.engine_incarnation = health.incarnation
         board.step_s = health.step_s
         board.waiting_tokens = health.waiting_tokens
         if cause is not None:
             logs.event(_logger, "backend_cold", logging.WARNING, cause=cause)
+        if cause is not None or was_suspended:
             self._service.report_load()
 
     def _on_learned(self, learned: digest.Learned) -> None:
--- a/packages/daemon/src/gentianpaddle_daemon/entry/figures.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/figures.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-import datetime
 import logging
-import random
 import time
 
-from gentianpaddle_core import day_figures, day_recorder, histograms, ids, outcomes
+from gentianpaddle_core import day_figures, day_recorder, histograms, outcomes
 
 from gentianpaddle_daemon import logs, metrics
-from gentianpaddle_daemon.entry import request, statuses
+from gentianpaddle_daemon.entry import day, request, statuses
 
 _logger = logging.getLogger("gentianpaddle.entry.figures")
 
@@ -75,11 +73,11 @@
         self,
         process_metrics: metrics.Metrics,
         known: statuses.Statuses,
-        day: DayHolder,
+        day_figures_of_vm: day.DayFiguresOfVm,
     ) -> None:
         self._metrics = process_metrics
         self._known = known
-        self._day = day
+        self._day = day_figures_of_vm
 
     def finished(
         self,
@@ -97,7 +95,7 @@
             attempts: Attempts that were made.
         """
         kind = day_figures.outcome_kind(outcome)
-        first_s = timing.first_s - checked.received_s if timing.began else None
+        first_s = _first_s(checked, outcome, timing)
         gap_s = timing.gap_s()
         in_target = isinstance(outcome, outcomes.Done) and _meets(checked, first_s, gap_s)
         self._known.put(checked.key, outcome)
@@ -154,31 +152,15 @@
             self._metrics.token_gap.observe(labels, gap_s)
 
 
-class DayHolder:
-    """The recorder of the present day; a new one takes over at midnight."""
-
-    def __init__(self, recorder: day_recorder.DayRecorder, started_s: float) -> None:
-        self.recorder = recorder
-        self._started_s = started_s
-
-    def now_s(self) -> float:
-        """Return the seconds since the start of the day."""
-        return time.time() - self._started_s
-
-    def record(self, observation: day_recorder.Observation) -> None:
-        """Count a finished request."""
-        self.recorder.record(self.now_s(), observation)
-
-    def record_harm(self, harm: day_figures.Harm, checked: request.CallerRequest) -> None:
-        """Count a harmed request."""
-        self.recorder.record_harm(
-            self.now_s(), harm, checked.work_class.name, checked.organisation, checked.key
-        )
-
-    def record_event(self, event_id: str, kind: day_figures.EventKind, text: str) -> None:
-        """Note what an operator did or what failed."""
-        event = day_figures.Event(event_id, kind, self.now_s(), text)
-        self.recorder.record_event(event)
+def _first_s(
+    checked: request.CallerRequest, outcome: outcomes.Outcome, timing: Timing
+) -> float | None:
+    if timing.began:
+        return timing.first_s - checked.received_s
+    if isinstance(outcome, outcomes.Done):
+        # An outcome from the claim log or an empty answer has no pieces.
+        return time.monotonic() - checked.received_s
+    return None
 
 
 def _meets(checked: request.CallerRequest, first_s: float | None, gap_s: float | None) -> bool:
@@ -186,22 +168,3 @@
     first_met = first_s is not None and first_s <= target.first_token_s
     gap_met = gap_s is None or gap_s * 1_000 <= target.token_gap_ms
     return first_met and gap_met
-
-
-def new_day_holder(vm: ids.VmId, incarnation: ids.Incarnation, rng: random.Random) -> DayHolder:
-    """Create the recorder of today.
-
-    Args:
-        vm: This VM.
-        incarnation: This process start.
-        rng: Spreads the writes of many VMs.
-
-    Returns:
-        A holder whose first write is due.
-    """
-    today = datetime.datetime.now().replace(hour=0, minute=0, second=0, microsecond=0)
-    started_s = today.timestamp()
-    recorder = day_recorder.new_day_recorder(
-        today.strftime("%Y-%m-%d"), vm, incarnation, time.time() - started_s, rng
-    )
-    return DayHolder(recorder, started_s)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/front.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/front.py
@@ -19,6 +19,9 @@
 
 MIN_THREADS = 8
 STOP_TIMEOUT_S = 2
+DRAIN_FACTOR = 4
+"""Bodies up to this multiple of the limit are read to the end, so that the caller gets a JSON
+answer; larger ones are refused by the HTTP library, which reads nothing of them."""
 
 Environ: typing.TypeAlias = dict[str, typing.Any]
 """A WSGI environment."""
@@ -61,7 +64,7 @@
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         self._server.max_request_header_size = limits.header_bytes
-        self._server.max_request_body_size = limits.body_bytes
+        self._server.max_request_body_size = DRAIN_FACTOR * limits.body_bytes
         self._thread: threading.Thread | None = None
 
     @property
--- a/packages/daemon/src/gentianpaddle_daemon/entry/operator.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/operator.py
@@ -23,7 +23,7 @@
 from gentianpaddle_daemon.entry import (
     claiming,
     configuration_watch,
-    figures,
+    day,
     front,
     responses,
     statuses,
@@ -48,7 +48,7 @@
         known: statuses.Statuses,
         claims: claiming.Claims,
         process_metrics: metrics.Metrics,
-        day: figures.DayHolder,
+        day_figures_of_vm: day.DayFiguresOfVm,
         entry_list: typing.Callable[[str], dict[str, typing.Any]],
         report: typing.Callable[[str, str], responses.Response],
     ) -> None:
@@ -58,7 +58,7 @@
         self._known = known
         self._claims = claims
         self._metrics = process_metrics
-        self._day = day
+        self._day = day_figures_of_vm
         self._entry_list = entry_list
         self._report = report
 
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -38,6 +38,7 @@
     agents,
     claim_objects,
     configuration_watch,
+    day,
     dispatcher,
     figures,
     front,
@@ -56,6 +57,7 @@
 WATCH_THREADS = 1
 STORE_BUDGET = store_client.CallBudget(reads_per_s=100.0, writes_per_s=50.0)
 DRAIN_POLL_S = 0.05
+REPORT_TIMEOUT_S = 60.0
 
 _logger = logging.getLogger("gentianpaddle.entry")
 
@@ -86,7 +88,9 @@
         rng = random.Random(board.incarnation)
         claims = claim_objects.ObjectClaims(self._store, self._store_threads)
         known = statuses.new_statuses()
-        self._day = figures.new_day_holder(own.process.vm, board.incarnation, rng)
+        self._day = day.new_day_figures(
+            own.process.vm, board.incarnation, self._store, self._store_threads, rng
+        )
         recorder = figures.Recorder(self._metrics, known, self._day)
         self._agents = agents.Agents(board, self._metrics, self._capacity_changed)
         self._dispatcher = dispatcher.Dispatcher(board, self._agents, claims, recorder, self._loop)
@@ -164,7 +168,13 @@
         # The server belongs to the event loop on which it is created.
         self._grpc = grpc_server.Server([self._exchange])
         await self._grpc.start(listen.host, listen.port)
-        bodies = (self._exchange.run, self._agents.run, self._watch.run, self._expire)
+        bodies = (
+            self._exchange.run,
+            self._agents.run,
+            self._watch.run,
+            self._expire,
+            self._day.run,
+        )
         for loop_body in bodies:
             asyncio.get_running_loop().create_task(loop_body())
         logs.event(_logger, "started", role="entry", incarnation=self.board.incarnation)
@@ -180,6 +190,7 @@
         while self.board.in_progress > 0 and time.monotonic() < until_s:
             await asyncio.sleep(DRAIN_POLL_S)
         await self._agents.stop()
+        await self._day.finish()
 
     async def _expire(self) -> None:
         while True:
@@ -212,7 +223,13 @@
         return {"entries": [f"http://{own.http.host}:{own.http.port}"], "ttl_s": self._ttl_s}
 
     def _report(self, date: str, form: str) -> responses.Response:
-        return responses.json_response(501, {"error": {"code": "later", "message": "later"}})
+        expected = tuple(
+            record.vm
+            for record in self.board.exchanger.table.records()
+            if record.role is membership.Role.ENTRY and record.state is membership.State.ALIVE
+        )
+        found = self._loop.run(self._day.read(date, expected), REPORT_TIMEOUT_S)
+        return day.render(found, self.declaration(), date, form)
 
 
 def _new_blackboard(own: settings.EntrySettings) -> blackboard.EntryBlackboard:
