--- /dev/null
+++ b/packages/core/src/gentianpaddle_core/expert_placement.py
@@ -0,0 +1,387 @@
+"""Where the experts of a group lie, and which share of its tokens each replica takes.
+
+Ranks advance in lock-step, so a layer takes as long as its slowest rank. Changing shares moves no
+bytes; a new replica is loaded through the rate-limited weight store into free memory. A plan is
+prepared and activated as one expert map: during its preparation a rank holds the replicas of the
+old map and the new ones, and replicas are dropped only after the activation.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+from gentianpaddle_core import _leveling, ids
+
+SHARE_UNITS = 64
+"""Shares are whole numbers of this; finer ones would make the dispatch table of a rank large."""
+
+LOOKAHEAD_REPLICAS = 4
+"""Replicas tried in a layer before the gain is judged: with two equally hot ranks, the first
+replica alone gains nothing."""
+
+COUNT_HALF_LIFE_S = 60.0
+"""Time after which a count of tokens weighs half."""
+
+VALIDITY_LIMITS_S = (60.0, 1_800.0)
+"""Shortest and longest time for which a plan is expected to stay valid."""
+
+RELEVEL_GAIN = 0.005
+"""Least share of the step time for which new shares alone are worth a change of map."""
+
+DROP_LOSS = 0.002
+"""Largest share of a layer's time that dropping a replica for want of room may cost."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """A group of ranks."""
+
+    rates: tuple[float, ...]
+    """Measured speed of each rank relative to a healthy one; a slow rank has less than 1."""
+    memory_bytes: tuple[int, ...]
+    """Memory for experts at each rank, over all layers."""
+    expert_bytes: int
+    """Size of one expert of one layer."""
+    store_bytes_s: float
+    """Rate at which the weight store serves this group."""
+    reserve_bytes: int
+    """Memory of each rank to keep free where possible, so that the next plan has room."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replica:
+    """One copy of an expert."""
+
+    rank: ids.RankIndex
+    """Rank that holds it."""
+    units: int
+    """Share of the expert's tokens, in `SHARE_UNITS`; 0 for a copy that is only kept."""
+
+
+ExpertReplicas = tuple[Replica, ...]
+"""Copies of one expert by rank."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertMap:
+    """Replicas of every expert of every layer."""
+
+    layers: tuple[tuple[ExpertReplicas, ...], ...]
+    """By layer and expert."""
+
+    def held_bytes(self, group: Group) -> list[int]:
+        """Return the memory that the replicas take at each rank.
+
+        Args:
+            group: The group.
+
+        Returns:
+            Bytes by rank.
+        """
+        held = [0] * len(group.rates)
+        for layer in self.layers:
+            for replicas in layer:
+                for replica in replicas:
+                    held[replica.rank] += group.expert_bytes
+        return held
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Place:
+    """One expert at one rank."""
+
+    layer: int
+    """Layer from 0."""
+    expert: ids.ExpertId
+    """Expert."""
+    rank: ids.RankIndex
+    """Rank."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A change of the expert map."""
+
+    loads: tuple[Place, ...]
+    """Replicas to load before the activation; there is room for them beside the old ones."""
+    drops: tuple[Place, ...]
+    """Replicas to drop after the activation."""
+    new_map: ExpertMap
+    """Map to activate."""
+    moved_bytes: int
+    """Bytes that the weight store serves."""
+    gain: float
+    """Expected share of the step time that is saved."""
+    reason: str
+    """Why, for the decision log."""
+
+    def moves(self) -> tuple[tuple[Place, Place], ...]:
+        """Return pairs of a load and a drop of the same expert; other loads are replications."""
+        drop_by_expert = {(drop.layer, drop.expert): drop for drop in self.drops}
+        return tuple(
+            (load, drop_by_expert[load.layer, load.expert])
+            for load in self.loads
+            if (load.layer, load.expert) in drop_by_expert
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Keep:
+    """The map stays as it is."""
+
+    reason: str
+    """Why, for the decision log."""
+
+
+class Popularity:
+    """Decayed counts of tokens by layer and expert, and how fast they change."""
+
+    def __init__(self, layers: int, experts: int) -> None:
+        self._counts = [[0.0] * experts for _ in range(layers)]
+        self._previous: list[list[float]] | None = None
+        self._observed_s: float | None = None
+        self._turnover_per_s = 0.0
+
+    def observe(self, now_s: float, tokens: Sequence[Sequence[float]]) -> None:
+        """Take the tokens of the time since the last observation.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            tokens: Tokens by layer and expert.
+        """
+        elapsed_s = 0.0 if self._observed_s is None else max(0.0, now_s - self._observed_s)
+        kept = 0.5 ** (elapsed_s / COUNT_HALF_LIFE_S)
+        for counts, new in zip(self._counts, tokens, strict=True):
+            for expert, count in enumerate(new):
+                counts[expert] = counts[expert] * kept + count
+        shares = [_normalised(new) for new in tokens]
+        if self._previous is not None and elapsed_s > 0.0:
+            distances = [
+                sum(abs(a - b) for a, b in zip(new, old, strict=True)) / 2.0
+                for new, old in zip(shares, self._previous, strict=True)
+            ]
+            turnover = sum(distances) / len(distances) / elapsed_s
+            self._turnover_per_s += (1.0 - kept) * (turnover - self._turnover_per_s)
+        self._previous = shares
+        self._observed_s = now_s
+
+    def loads(self) -> list[list[float]]:
+        """Return the share of each expert in the tokens of its layer."""
+        return [_normalised(counts) for counts in self._counts]
+
+    def validity_s(self) -> float:
+        """Return how long a plan is expected to stay valid.
+
+        A gain that shrinks evenly until all popularity is replaced is worth half of that time.
+        """
+        shortest, longest = VALIDITY_LIMITS_S
+        if self._turnover_per_s <= 0.0:
+            return longest
+        return min(longest, max(shortest, 0.5 / self._turnover_per_s))
+
+
+def new_popularity(layers: int, experts: int) -> Popularity:
+    """Create empty counts.
+
+    Args:
+        layers: Number of layers with experts.
+        experts: Experts of a layer.
+
+    Returns:
+        The counts.
+    """
+    return Popularity(layers, experts)
+
+
+def skew(expert_map: ExpertMap, loads: Sequence[Sequence[float]], group: Group) -> float:
+    """Return the step time relative to ranks that all take the mean time.
+
+    Args:
+        expert_map: Map in force.
+        loads: Share of each expert by layer.
+        group: The group.
+
+    Returns:
+        Sum over layers of the longest rank time, over the sum of the mean rank times.
+    """
+    longest = mean = 0.0
+    for replicas, load in zip(expert_map.layers, loads, strict=True):
+        times = [0.0] * len(group.rates)
+        for expert, copies in enumerate(replicas):
+            for copy in copies:
+                part = load[expert] * copy.units / SHARE_UNITS
+                times[copy.rank] += part / group.rates[copy.rank]
+        longest += max(times)
+        mean += sum(times) / len(times)
+    return longest / mean if mean > 0.0 else 1.0
+
+
+def solve(loads: Sequence[Sequence[float]], group: Group) -> ExpertMap:
+    """Place all experts afresh, without regard to where they lie.
+
+    Args:
+        loads: Share of each expert by layer.
+        group: The group; its memory must hold every expert once.
+
+    Returns:
+        A balanced map that uses all memory but the reserve.
+    """
+    count = len(loads)
+    slots = [(memory - group.reserve_bytes) // group.expert_bytes for memory in group.memory_bytes]
+    layers = []
+    for index, load in enumerate(loads):
+        # A rank's remainder goes to other layers than that of its neighbour.
+        room = [
+            total // count + ((index + rank) % count < total % count)
+            for rank, total in enumerate(slots)
+        ]
+        working = _leveling.packed(load, group.rates, room)
+        working.level()
+        layers.append(_quantised(working))
+    return ExpertMap(tuple(layers))
+
+
+def plan(
+    current: ExpertMap,
+    loads: Sequence[Sequence[float]],
+    group: Group,
+    validity_s: float,
+    budget_bytes: int,
+) -> Plan | Keep:
+    """Decide on the next change of the map.
+
+    Args:
+        current: Map in force.
+        loads: Share of each expert by layer.
+        group: The group.
+        validity_s: Time for which the change is expected to stay valid.
+        budget_bytes: Bytes that the weight store may serve for this plan.
+
+    Returns:
+        The change, or why there is none.
+    """
+    work = _Work(current, loads, group)
+    before = sum(work.current_times)
+    loaded = work.add_replicas(validity_s, budget_bytes)
+    dropped = work.drop_for_reserve(loaded)
+    after = sum(layer.longest() for layer in work.layers)
+    gain = (before - after) / before if before > 0.0 else 0.0
+    if not loaded and not dropped and gain < RELEVEL_GAIN:
+        return Keep(f"a change would save {gain:.2%} of the step time")
+    moved_bytes = len(loaded) * group.expert_bytes
+    return Plan(
+        loads=tuple(sorted(loaded)),
+        drops=tuple(sorted(dropped)),
+        new_map=ExpertMap(tuple(_quantised(layer) for layer in work.layers)),
+        moved_bytes=moved_bytes,
+        gain=gain,
+        reason=(
+            f"saves {gain:.2%} of the step time for {validity_s:.0f} s with "
+            f"{len(loaded)} loads and {len(dropped)} drops"
+        ),
+    )
+
+
+class _Work:
+    """Layers under change, with the free memory of the ranks."""
+
+    def __init__(self, current: ExpertMap, loads: Sequence[Sequence[float]], group: Group) -> None:
+        self.group = group
+        held = current.held_bytes(group)
+        self.free = [memory - used for memory, used in zip(group.memory_bytes, held, strict=True)]
+        self.layers = []
+        self.current_times = []
+        for replicas, load in zip(current.layers, loads, strict=True):
+            amounts = [
+                {int(copy.rank): load[expert] * copy.units / SHARE_UNITS for copy in copies}
+                for expert, copies in enumerate(replicas)
+            ]
+            layer = _leveling.Layer(list(load), amounts, group.rates)
+            self.current_times.append(layer.longest())
+            layer.level()
+            self.layers.append(layer)
+
+    def add_replicas(self, validity_s: float, budget_bytes: int) -> list[Place]:
+        loaded: list[Place] = []
+        step_time = sum(layer.longest() for layer in self.layers) or 1.0
+        cost = self.group.expert_bytes / self.group.store_bytes_s
+        worst_first = sorted(range(len(self.layers)), key=lambda index: -self.layers[index].skew())
+        for index in worst_first:
+            while (len(loaded) + LOOKAHEAD_REPLICAS) * self.group.expert_bytes <= budget_bytes:
+                layer = self.layers[index]
+                trial = layer.copy()
+                best_net, best, taken = 0.0, layer, 0
+                tried: list[tuple[int, int]] = []
+                for _ in range(LOOKAHEAD_REPLICAS):
+                    choice = self._choice(trial, tried)
+                    if choice is None:
+                        break
+                    tried.append(choice)
+                    trial.add(*choice)
+                    trial.level()
+                    saved = (layer.longest() - trial.longest()) / step_time
+                    net = saved * validity_s - cost * len(tried)
+                    if net > best_net:
+                        best_net, best, taken = net, trial.copy(), len(tried)
+                if not taken:
+                    break
+                self.layers[index] = best
+                for expert, rank in tried[:taken]:
+                    self.free[rank] -= self.group.expert_bytes
+                    loaded.append(Place(index, ids.ExpertId(expert), ids.RankIndex(rank)))
+        return loaded
+
+    def _choice(
+        self, layer: _leveling.Layer, tried: list[tuple[int, int]]
+    ) -> tuple[int, int] | None:
+        size = self.group.expert_bytes
+        room = [
+            rank
+            for rank, free in enumerate(self.free)
+            if free >= size * (1 + sum(1 for _, taken in tried if taken == rank))
+        ]
+        return layer.best_replica(room)
+
+    def drop_for_reserve(self, loaded: list[Place]) -> list[Place]:
+        dropped: list[Place] = []
+        fresh = set(loaded)
+        for rank in range(len(self.free)):
+            free = self.free[rank]
+            candidates = sorted(
+                (layer.amounts[expert][rank], index, expert)
+                for index, layer in enumerate(self.layers)
+                for expert in layer.spare_at(rank)
+                if Place(index, ids.ExpertId(expert), ids.RankIndex(rank)) not in fresh
+            )
+            for _, index, expert in candidates:
+                if free >= self.group.reserve_bytes:
+                    break
+                layer = self.layers[index]
+                if len(layer.amounts[expert]) < 2:
+                    continue
+                trial = layer.copy()
+                trial.remove(expert, rank)
+                trial.level()
+                if trial.longest() <= layer.longest() * (1.0 + DROP_LOSS):
+                    self.layers[index] = trial
+                    free += self.group.expert_bytes
+                    dropped.append(Place(index, ids.ExpertId(expert), ids.RankIndex(rank)))
+        return dropped
+
+
+def _quantised(layer: _leveling.Layer) -> tuple[ExpertReplicas, ...]:
+    return tuple(
+        tuple(
+            Replica(ids.RankIndex(rank), units)
+            for rank, units in sorted(
+                _leveling.units(amounts, layer.loads[expert], SHARE_UNITS).items()
+            )
+        )
+        for expert, amounts in enumerate(layer.amounts)
+    )
+
+
+def _normalised(counts: Sequence[float]) -> list[float]:
+    total = sum(counts)
+    return [count / total for count in counts] if total > 0.0 else [1.0 / len(counts)] * len(counts)
