--- a/benchmarks/expert_placement.py
+++ b/benchmarks/expert_placement.py
@@ -71,7 +71,7 @@
     group: expert_placement.Group,
 ) -> tuple[expert_placement.ExpertMap, int]:
     """Solve afresh in each period."""
-    new = expert_placement.solve(popularity.loads(), group)
+    new = expert_placement.solve(popularity.loads(PERIOD_S), group)
     moved = 0
     for old_layer, new_layer in zip(current.layers, new.layers, strict=True):
         for old, replicas in zip(old_layer, new_layer, strict=True):
@@ -87,7 +87,7 @@
     """Apply the plan of `expert_placement`."""
     budget = int(group.store_bytes_s * PERIOD_S / 2)
     decision = expert_placement.plan(
-        current, popularity.loads(), group, popularity.validity_s(), budget
+        current, popularity.loads(PERIOD_S), group, popularity.validity_s(), budget
     )
     if isinstance(decision, expert_placement.Keep):
         return current, 0
--- a/packages/core/src/gentianpaddle_core/expert_placement.py
+++ b/packages/core/src/gentianpaddle_core/expert_placement.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Sequence
 
 from gentianpaddle_core import _leveling, ids
@@ -20,9 +21,15 @@
 """Replicas tried in a layer before the gain is judged: with two equally hot ranks, the first
 replica alone gains nothing."""
 
-COUNT_HALF_LIFE_S = 60.0
+FAST_HALF_LIFE_S = 20.0
 """Time after which a count of tokens weighs half."""
 
+SLOW_HALF_LIFE_S = 60.0
+"""Same for the older counts that the trend is measured against."""
+
+TREND_LIMIT = 1.0
+"""Largest predicted change of an expert's popularity, as a logarithm."""
+
 VALIDITY_LIMITS_S = (60.0, 1_800.0)
 """Shortest and longest time for which a plan is expected to stay valid."""
 
@@ -135,12 +142,13 @@
 
 
 class Popularity:
-    """Decayed counts of tokens by layer and expert, and how fast they change."""
+    """Popularity of experts by layer, predicted from two decayed counts of tokens."""
 
     def __init__(self, layers: int, experts: int) -> None:
-        self._counts = [[0.0] * experts for _ in range(layers)]
+        self._fast = _Counts(layers, experts, FAST_HALF_LIFE_S)
+        self._slow = _Counts(layers, experts, SLOW_HALF_LIFE_S)
         self._previous: list[list[float]] | None = None
-        self._observed_s: float | None = None
+        self._observed_s = 0.0
         self._turnover_per_s = 0.0
 
     def observe(self, now_s: float, tokens: Sequence[Sequence[float]]) -> None:
@@ -150,25 +158,39 @@
             now_s: Monotonic time in seconds.
             tokens: Tokens by layer and expert.
         """
-        elapsed_s = 0.0 if self._observed_s is None else max(0.0, now_s - self._observed_s)
-        kept = 0.5 ** (elapsed_s / COUNT_HALF_LIFE_S)
-        for counts, new in zip(self._counts, tokens, strict=True):
-            for expert, count in enumerate(new):
-                counts[expert] = counts[expert] * kept + count
         shares = [_normalised(new) for new in tokens]
+        elapsed_s = now_s - self._observed_s
         if self._previous is not None and elapsed_s > 0.0:
             distances = [
                 sum(abs(a - b) for a, b in zip(new, old, strict=True)) / 2.0
                 for new, old in zip(shares, self._previous, strict=True)
             ]
             turnover = sum(distances) / len(distances) / elapsed_s
-            self._turnover_per_s += (1.0 - kept) * (turnover - self._turnover_per_s)
+            weight = 1.0 - 0.5 ** (elapsed_s / SLOW_HALF_LIFE_S)
+            self._turnover_per_s += weight * (turnover - self._turnover_per_s)
         self._previous = shares
         self._observed_s = now_s
+        self._fast.add(now_s, tokens)
+        self._slow.add(now_s, tokens)
+
+    def loads(self, lead_s: float = 0.0) -> list[list[float]]:
+        """Return the share of each expert in the tokens of its layer.
 
-    def loads(self) -> list[list[float]]:
-        """Return the share of each expert in the tokens of its layer."""
-        return [_normalised(counts) for counts in self._counts]
+        Args:
+            lead_s: Time after the last observation for which to predict, from the trend of the
+                decayed counts.
+
+        Returns:
+            Shares by layer and expert.
+        """
+        distance_s = self._fast.mean_s - self._slow.mean_s
+        if distance_s <= 0.0:
+            return [_normalised(counts) for counts in self._fast.counts]
+        factor = (self._observed_s + lead_s - self._fast.mean_s) / distance_s
+        return [
+            _extrapolated(_normalised(fast), _normalised(slow), factor)
+            for fast, slow in zip(self._fast.counts, self._slow.counts, strict=True)
+        ]
 
     def validity_s(self) -> float:
         """Return how long a plan is expected to stay valid.
@@ -181,6 +203,34 @@
         return min(longest, max(shortest, 0.5 / self._turnover_per_s))
 
 
+class _Counts:
+    """Decayed counts and the mean time that they stem from."""
+
+    def __init__(self, layers: int, experts: int, half_life_s: float) -> None:
+        self.counts = [[0.0] * experts for _ in range(layers)]
+        self.mean_s = 0.0
+        self._half_life_s = half_life_s
+        self._weight = 0.0
+        self._now_s = 0.0
+
+    def add(self, now_s: float, tokens: Sequence[Sequence[float]]) -> None:
+        kept = 0.5 ** (max(0.0, now_s - self._now_s) / self._half_life_s)
+        for counts, new in zip(self.counts, tokens, strict=True):
+            for expert, count in enumerate(new):
+                counts[expert] = counts[expert] * kept + count
+        self._weight = self._weight * kept + 1.0
+        self.mean_s += (now_s - self.mean_s) / self._weight
+        self._now_s = now_s
+
+
+def _extrapolated(fast: list[float], slow: list[float], factor: float) -> list[float]:
+    predicted = []
+    for new, old in zip(fast, slow, strict=True):
+        trend = math.log(new / old) * factor if new > 0.0 and old > 0.0 else 0.0
+        predicted.append(new * math.exp(max(-TREND_LIMIT, min(TREND_LIMIT, trend))))
+    return _normalised(predicted)
+
+
 def new_popularity(layers: int, experts: int) -> Popularity:
     """Create empty counts.
 
