Judge replicas by a smooth cost and by the ranks they join

Cause: with two equally hot ranks the longest time does not fall with the first replica, so four had to be tried together; and replicas went to the coldest rank, not to the ranks with most room in all.

Change: a norm of the rank times in place of the longest time; candidates are scored by the level that the joined ranks reach, six of them tried in full; a replica is dropped where the one that could take its room is worth more.

--- a/packages/core/src/gentianpaddle_core/_leveling.py
+++ b/packages/core/src/gentianpaddle_core/_leveling.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import heapq
+from collections.abc import Collection, Sequence
 
 LEVEL_ROUNDS = 12
 """Rounds over all replicated experts; the longest time changes by less than 1 % after them."""
@@ -13,6 +14,13 @@
 TIGHT = 0.995
 """Ranks within this share of the longest time count as hottest."""
 
+COST_POWER = 16
+"""Power of the norm that stands for the longest time. The maximum itself does not fall when one of
+two equally hot ranks is relieved; this norm does."""
+
+TRIALS = 6
+"""Replicas that are tried in full of those that look best."""
+
 
 class Layer:
     """Load of one layer. `amounts[expert][rank]` adds up to `loads[expert]`."""
@@ -50,12 +58,13 @@
             if previous - longest <= LEVEL_PRECISION * longest:
                 break
 
-    def add(self, expert: int, rank: int) -> None:
-        self.amounts[expert][rank] = 0.0
-
-    def remove(self, expert: int, rank: int) -> None:
-        self.rank_loads[rank] -= self.amounts[expert].pop(rank)
-        self._fill(expert)
+    def without(self, expert: int, rank: int) -> Layer:
+        """Return the leveled layer without one of several replicas of an expert."""
+        trial = self.copy()
+        trial.rank_loads[rank] -= trial.amounts[expert].pop(rank)
+        trial._fill(expert)
+        trial.level()
+        return trial
 
     def spare_at(self, rank: int) -> list[int]:
         return [
@@ -64,23 +73,77 @@
             if rank in by_rank and len(by_rank) > 1
         ]
 
-    def best_replica(self, room: Sequence[int]) -> tuple[int, int] | None:
-        """Return expert and rank of the replica that takes most from the hottest ranks."""
+    def cost(self) -> float:
+        """Return a smooth stand-in for the longest time."""
+        longest = self.longest()
+        if longest <= 0.0:
+            return 0.0
+        times = map(_time, self.rank_loads, self.rates)
+        total = sum((time / longest) ** COST_POWER for time in times)
+        return float(longest * (total / len(self.rates)) ** (1.0 / COST_POWER))
+
+    def best_replica(self, room: Collection[int]) -> tuple[Layer, int, int] | None:
+        """Return the layer with the replica that lowers its cost most, its expert and rank."""
+        best: tuple[float, Layer, int, int] | None = None
+        for expert, rank in self._promising(room):
+            trial = self.copy()
+            trial.amounts[expert][rank] = 0.0
+            trial.level()
+            cost = trial.cost()
+            if best is None or cost < best[0]:
+                best = (cost, trial, expert, rank)
+        return None if best is None else best[1:]
+
+    def _promising(self, room: Collection[int]) -> list[tuple[int, int]]:
+        """Return pairs of a hot expert and a rank, best first by the level they would reach.
+
+        Ranks that share replicated experts level out, so a new replica joins two sets of ranks.
+        """
         times = list(map(_time, self.rank_loads, self.rates))
         limit = max(times) * TIGHT
-        best: tuple[float, int, int] | None = None
+        set_of = self._connected()
+        load_of = [0.0] * len(times)
+        rate_of = [0.0] * len(times)
+        for rank, index in enumerate(set_of):
+            load_of[index] += self.rank_loads[rank]
+            rate_of[index] += self.rates[rank]
+        scored = []
         for expert, by_rank in enumerate(self.amounts):
-            hot = sum(amount for rank, amount in by_rank.items() if times[rank] >= limit)
-            if hot <= 0.0:
+            hot = [rank for rank, amount in by_rank.items() if amount and times[rank] >= limit]
+            if not hot:
                 continue
+            movable = sum(by_rank[rank] for rank in hot)
+            source = set_of[hot[0]]
             for rank in room:
                 if rank in by_rank or times[rank] >= limit:
                     continue
-                space = (limit - times[rank]) * self.rates[rank]
-                score = min(hot, space / 2.0)
-                if best is None or score > best[0]:
-                    best = (score, expert, rank)
-        return None if best is None else best[1:]
+                target = set_of[rank]
+                if target == source:
+                    level = limit
+                else:
+                    level = (load_of[source] + load_of[target]) / (
+                        rate_of[source] + rate_of[target]
+                    )
+                level = max(level, (load_of[source] - movable) / rate_of[source])
+                scored.append((level, -movable, times[rank], expert, rank))
+        return [pair[3:] for pair in heapq.nsmallest(TRIALS, scored)]
+
+    def _connected(self) -> list[int]:
+        """Return for each rank the least rank that it shares load with, if only through others."""
+        set_of = list(range(len(self.rates)))
+
+        def root(rank: int) -> int:
+            while set_of[rank] != rank:
+                rank = set_of[rank]
+            return rank
+
+        for by_rank in self.amounts:
+            first, *others = map(root, by_rank)
+            for other in others:
+                low, high = sorted((root(first), root(other)))
+                set_of[high] = low
+                first = low
+        return [root(rank) for rank in range(len(set_of))]
 
     def _fill(self, expert: int) -> None:
         """Distribute an expert so that the ranks that take part of it have equal times."""
--- a/packages/core/src/gentianpaddle_core/expert_placement.py
+++ b/packages/core/src/gentianpaddle_core/expert_placement.py
@@ -17,10 +17,6 @@
 SHARE_UNITS = 64
 """Shares are whole numbers of this; finer ones would make the dispatch table of a rank large."""
 
-LOOKAHEAD_REPLICAS = 4
-"""Replicas tried in a layer before the gain is judged: with two equally hot ranks, the first
-replica alone gains nothing."""
-
 FAST_HALF_LIFE_S = 20.0
 """Time after which a count of tokens weighs half."""
 
@@ -36,9 +32,6 @@
 RELEVEL_GAIN = 0.005
 """Least share of the step time for which new shares alone are worth a change of map."""
 
-DROP_LOSS = 0.002
-"""Largest share of a layer's time that dropping a replica for want of room may cost."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Group:
@@ -314,7 +307,7 @@
     work = _Work(current, loads, group)
     before = sum(work.current_times)
     loaded = work.add_replicas(validity_s, budget_bytes)
-    dropped = work.drop_for_reserve(loaded)
+    dropped = work.drop_for_room(loaded, validity_s)
     after = sum(layer.longest() for layer in work.layers)
     gain = (before - after) / before if before > 0.0 else 0.0
     if not loaded and not dropped and gain < RELEVEL_GAIN:
@@ -333,6 +326,18 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    """A replica that may be added or dropped."""
+
+    saved: float
+    """Time that it saves, or costs when dropped."""
+    layer: _leveling.Layer
+    """The layer with the change."""
+    place: Place
+    """Which replica."""
+
+
 class _Work:
     """Layers under change, with the free memory of the ranks."""
 
@@ -353,72 +358,70 @@
             self.layers.append(layer)
 
     def add_replicas(self, validity_s: float, budget_bytes: int) -> list[Place]:
-        loaded: list[Place] = []
+        size = self.group.expert_bytes
         step_time = sum(layer.longest() for layer in self.layers) or 1.0
-        cost = self.group.expert_bytes / self.group.store_bytes_s
-        worst_first = sorted(range(len(self.layers)), key=lambda index: -self.layers[index].skew())
-        for index in worst_first:
-            while (len(loaded) + LOOKAHEAD_REPLICAS) * self.group.expert_bytes <= budget_bytes:
-                layer = self.layers[index]
-                trial = layer.copy()
-                best_net, best, taken = 0.0, layer, 0
-                tried: list[tuple[int, int]] = []
-                for _ in range(LOOKAHEAD_REPLICAS):
-                    choice = self._choice(trial, tried)
-                    if choice is None:
-                        break
-                    tried.append(choice)
-                    trial.add(*choice)
-                    trial.level()
-                    saved = (layer.longest() - trial.longest()) / step_time
-                    net = saved * validity_s - cost * len(tried)
-                    if net > best_net:
-                        best_net, best, taken = net, trial.copy(), len(tried)
-                if not taken:
-                    break
-                self.layers[index] = best
-                for expert, rank in tried[:taken]:
-                    self.free[rank] -= self.group.expert_bytes
-                    loaded.append(Place(index, ids.ExpertId(expert), ids.RankIndex(rank)))
+        worth = step_time * size / self.group.store_bytes_s / validity_s
+        loaded: list[Place] = []
+        queue = [self._best(index, self._room()) for index in range(len(self.layers))]
+        while (len(loaded) + 1) * size <= budget_bytes:
+            best = max(filter(None, queue), key=lambda choice: choice.saved, default=None)
+            if best is None or best.saved <= worth:
+                break
+            index, rank = best.place.layer, best.place.rank
+            if self.free[rank] >= size:
+                self.layers[index] = best.layer
+                self.free[rank] -= size
+                loaded.append(best.place)
+            queue[index] = self._best(index, self._room())
         return loaded
 
-    def _choice(
-        self, layer: _leveling.Layer, tried: list[tuple[int, int]]
-    ) -> tuple[int, int] | None:
-        size = self.group.expert_bytes
-        room = [
-            rank
-            for rank, free in enumerate(self.free)
-            if free >= size * (1 + sum(1 for _, taken in tried if taken == rank))
-        ]
-        return layer.best_replica(room)
+    def _room(self) -> set[int]:
+        return {r for r, free in enumerate(self.free) if free >= self.group.expert_bytes}
+
+    def _best(self, index: int, room: set[int]) -> _Choice | None:
+        layer = self.layers[index]
+        found = layer.best_replica(room)
+        if found is None:
+            return None
+        changed, expert, rank = found
+        place = Place(index, ids.ExpertId(expert), ids.RankIndex(rank))
+        return _Choice(layer.cost() - changed.cost(), changed, place)
 
-    def drop_for_reserve(self, loaded: list[Place]) -> list[Place]:
+    def drop_for_room(self, loaded: list[Place], validity_s: float) -> list[Place]:
+        """Drop what is worth less than the replica that the next plan can load in its place."""
+        step_time = sum(layer.longest() for layer in self.layers) or 1.0
+        size = self.group.expert_bytes
+        worth = step_time * size / self.group.store_bytes_s / validity_s
         dropped: list[Place] = []
         fresh = set(loaded)
-        for rank in range(len(self.free)):
-            free = self.free[rank]
-            candidates = sorted(
-                (layer.amounts[expert][rank], index, expert)
-                for index, layer in enumerate(self.layers)
-                for expert in layer.spare_at(rank)
-                if Place(index, ids.ExpertId(expert), ids.RankIndex(rank)) not in fresh
-            )
-            for _, index, expert in candidates:
-                if free >= self.group.reserve_bytes:
-                    break
-                layer = self.layers[index]
-                if len(layer.amounts[expert]) < 2:
-                    continue
-                trial = layer.copy()
-                trial.remove(expert, rank)
-                trial.level()
-                if trial.longest() <= layer.longest() * (1.0 + DROP_LOSS):
-                    self.layers[index] = trial
-                    free += self.group.expert_bytes
-                    dropped.append(Place(index, ids.ExpertId(expert), ids.RankIndex(rank)))
+        wish_by_rank = dict.fromkeys(range(len(self.free)), worth)
+        for index in range(len(self.layers)):
+            choice = self._best(index, set(range(len(self.free))))
+            if choice is not None:
+                rank = choice.place.rank
+                wish_by_rank[rank] = max(wish_by_rank[rank], choice.saved - worth)
+        for rank, wish in wish_by_rank.items():
+            if self.free[rank] >= self.group.reserve_bytes:
+                continue
+            least = self._least_useful(rank, fresh)
+            if least is not None and least.saved < wish:
+                self.layers[least.place.layer] = least.layer
+                dropped.append(least.place)
         return dropped
 
+    def _least_useful(self, rank: int, kept: set[Place]) -> _Choice | None:
+        least: _Choice | None = None
+        for index, layer in enumerate(self.layers):
+            for expert in layer.spare_at(rank):
+                place = Place(index, ids.ExpertId(expert), ids.RankIndex(rank))
+                if place in kept:
+                    continue
+                trial = layer.without(expert, rank)
+                loss = trial.cost() - layer.cost()
+                if least is None or loss < least.saved:
+                    least = _Choice(loss, trial, place)
+        return least
+
 
 def _quantised(layer: _leveling.Layer) -> tuple[ExpertReplicas, ...]:
     return tuple(
