--- a/benchmarks/expert_placement.py
+++ b/benchmarks/expert_placement.py
@@ -12,7 +12,7 @@
 import typing
 from collections.abc import Iterator
 
-from gentianpaddle_core import expert_placement
+from gentianpaddle_core import expert_placement, expert_popularity
 
 EXPERTS = 64
 LAYERS = 8
@@ -38,7 +38,7 @@
     def __call__(
         self,
         current: expert_placement.ExpertMap,
-        popularity: expert_placement.Popularity,
+        popularity: expert_popularity.Popularity,
         group: expert_placement.Group,
     ) -> tuple[expert_placement.ExpertMap, int]:
         """Return the next map and the bytes moved for it."""
@@ -58,7 +58,7 @@
 
 def never(
     current: expert_placement.ExpertMap,
-    popularity: expert_placement.Popularity,
+    popularity: expert_popularity.Popularity,
     group: expert_placement.Group,
 ) -> tuple[expert_placement.ExpertMap, int]:
     """Keep the first map."""
@@ -67,7 +67,7 @@
 
 def full(
     current: expert_placement.ExpertMap,
-    popularity: expert_placement.Popularity,
+    popularity: expert_popularity.Popularity,
     group: expert_placement.Group,
 ) -> tuple[expert_placement.ExpertMap, int]:
     """Solve afresh in each period."""
@@ -81,7 +81,7 @@
 
 def incremental(
     current: expert_placement.ExpertMap,
-    popularity: expert_placement.Popularity,
+    popularity: expert_popularity.Popularity,
     group: expert_placement.Group,
 ) -> tuple[expert_placement.ExpertMap, int]:
     """Apply the plan of `expert_placement`."""
@@ -134,7 +134,7 @@
     """
     rng = random.Random(seed)
     group = new_group(ranks)
-    popularity = expert_placement.new_popularity(LAYERS, EXPERTS)
+    popularity = expert_popularity.new_popularity(LAYERS, EXPERTS)
     expert_map: expert_placement.ExpertMap | None = None
     measured = DAWN if scenario == "dawn_rush" else range(1, PERIODS)
     skews = []
--- a/packages/core/src/gentianpaddle_core/_leveling.py
+++ b/packages/core/src/gentianpaddle_core/_leveling.py
@@ -82,17 +82,15 @@
         total = sum((time / longest) ** COST_POWER for time in times)
         return float(longest * (total / len(self.rates)) ** (1.0 / COST_POWER))
 
-    def best_replica(self, room: Collection[int]) -> tuple[Layer, int, int] | None:
-        """Return the layer with the replica that lowers its cost most, its expert and rank."""
-        best: tuple[float, Layer, int, int] | None = None
+    def trials(self, room: Collection[int]) -> list[tuple[Layer, int, int]]:
+        """Return the layer with one more replica, its expert and rank, for promising replicas."""
+        found = []
         for expert, rank in self._promising(room):
             trial = self.copy()
             trial.amounts[expert][rank] = 0.0
             trial.level()
-            cost = trial.cost()
-            if best is None or cost < best[0]:
-                best = (cost, trial, expert, rank)
-        return None if best is None else best[1:]
+            found.append((trial, expert, rank))
+        return found
 
     def _promising(self, room: Collection[int]) -> list[tuple[int, int]]:
         """Return pairs of a hot expert and a rank, best first by the level they would reach.
--- a/packages/core/src/gentianpaddle_core/expert_placement.py
+++ b/packages/core/src/gentianpaddle_core/expert_placement.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 from collections.abc import Sequence
 
 from gentianpaddle_core import _leveling, ids
@@ -17,18 +16,6 @@
 SHARE_UNITS = 64
 """Shares are whole numbers of this; finer ones would make the dispatch table of a rank large."""
 
-FAST_HALF_LIFE_S = 20.0
-"""Time after which a count of tokens weighs half."""
-
-SLOW_HALF_LIFE_S = 60.0
-"""Same for the older counts that the trend is measured against."""
-
-TREND_LIMIT = 1.0
-"""Largest predicted change of an expert's popularity, as a logarithm."""
-
-VALIDITY_LIMITS_S = (60.0, 1_800.0)
-"""Shortest and longest time for which a plan is expected to stay valid."""
-
 RELEVEL_GAIN = 0.005
 """Least share of the step time for which new shares alone are worth a change of map."""
 
@@ -134,109 +121,6 @@
     """Why, for the decision log."""
 
 
-class Popularity:
-    """Popularity of experts by layer, predicted from two decayed counts of tokens."""
-
-    def __init__(self, layers: int, experts: int) -> None:
-        self._fast = _Counts(layers, experts, FAST_HALF_LIFE_S)
-        self._slow = _Counts(layers, experts, SLOW_HALF_LIFE_S)
-        self._previous: list[list[float]] | None = None
-        self._observed_s = 0.0
-        self._turnover_per_s = 0.0
-
-    def observe(self, now_s: float, tokens: Sequence[Sequence[float]]) -> None:
-        """Take the tokens of the time since the last observation.
-
-        Args:
-            now_s: Monotonic time in seconds.
-            tokens: Tokens by layer and expert.
-        """
-        shares = [_normalised(new) for new in tokens]
-        elapsed_s = now_s - self._observed_s
-        if self._previous is not None and elapsed_s > 0.0:
-            distances = [
-                sum(abs(a - b) for a, b in zip(new, old, strict=True)) / 2.0
-                for new, old in zip(shares, self._previous, strict=True)
-            ]
-            turnover = sum(distances) / len(distances) / elapsed_s
-            weight = 1.0 - 0.5 ** (elapsed_s / SLOW_HALF_LIFE_S)
-            self._turnover_per_s += weight * (turnover - self._turnover_per_s)
-        self._previous = shares
-        self._observed_s = now_s
-        self._fast.add(now_s, tokens)
-        self._slow.add(now_s, tokens)
-
-    def loads(self, lead_s: float = 0.0) -> list[list[float]]:
-        """Return the share of each expert in the tokens of its layer.
-
-        Args:
-            lead_s: Time after the last observation for which to predict, from the trend of the
-                decayed counts.
-
-        Returns:
-            Shares by layer and expert.
-        """
-        distance_s = self._fast.mean_s - self._slow.mean_s
-        if distance_s <= 0.0:
-            return [_normalised(counts) for counts in self._fast.counts]
-        factor = (self._observed_s + lead_s - self._fast.mean_s) / distance_s
-        return [
-            _extrapolated(_normalised(fast), _normalised(slow), factor)
-            for fast, slow in zip(self._fast.counts, self._slow.counts, strict=True)
-        ]
-
-    def validity_s(self) -> float:
-        """Return how long a plan is expected to stay valid.
-
-        A gain that shrinks evenly until all popularity is replaced is worth half of that time.
-        """
-        shortest, longest = VALIDITY_LIMITS_S
-        if self._turnover_per_s <= 0.0:
-            return longest
-        return min(longest, max(shortest, 0.5 / self._turnover_per_s))
-
-
-class _Counts:
-    """Decayed counts and the mean time that they stem from."""
-
-    def __init__(self, layers: int, experts: int, half_life_s: float) -> None:
-        self.counts = [[0.0] * experts for _ in range(layers)]
-        self.mean_s = 0.0
-        self._half_life_s = half_life_s
-        self._weight = 0.0
-        self._now_s = 0.0
-
-    def add(self, now_s: float, tokens: Sequence[Sequence[float]]) -> None:
-        kept = 0.5 ** (max(0.0, now_s - self._now_s) / self._half_life_s)
-        for counts, new in zip(self.counts, tokens, strict=True):
-            for expert, count in enumerate(new):
-                counts[expert] = counts[expert] * kept + count
-        self._weight = self._weight * kept + 1.0
-        self.mean_s += (now_s - self.mean_s) / self._weight
-        self._now_s = now_s
-
-
-def _extrapolated(fast: list[float], slow: list[float], factor: float) -> list[float]:
-    predicted = []
-    for new, old in zip(fast, slow, strict=True):
-        trend = math.log(new / old) * factor if new > 0.0 and old > 0.0 else 0.0
-        predicted.append(new * math.exp(max(-TREND_LIMIT, min(TREND_LIMIT, trend))))
-    return _normalised(predicted)
-
-
-def new_popularity(layers: int, experts: int) -> Popularity:
-    """Create empty counts.
-
-    Args:
-        layers: Number of layers with experts.
-        experts: Experts of a layer.
-
-    Returns:
-        The counts.
-    """
-    return Popularity(layers, experts)
-
-
 def skew(expert_map: ExpertMap, loads: Sequence[Sequence[float]], group: Group) -> float:
     """Return the step time relative to ranks that all take the mean time.
 
@@ -379,13 +263,19 @@
         return {r for r, free in enumerate(self.free) if free >= self.group.expert_bytes}
 
     def _best(self, index: int, room: set[int]) -> _Choice | None:
+        return max(self._choices(index, room), key=lambda choice: choice.saved, default=None)
+
+    def _choices(self, index: int, room: set[int]) -> list[_Choice]:
         layer = self.layers[index]
-        found = layer.best_replica(room)
-        if found is None:
-            return None
-        changed, expert, rank = found
-        place = Place(index, ids.ExpertId(expert), ids.RankIndex(rank))
-        return _Choice(layer.cost() - changed.cost(), changed, place)
+        cost = layer.cost()
+        return [
+            _Choice(
+                cost - changed.cost(),
+                changed,
+                Place(index, ids.ExpertId(expert), ids.RankIndex(rank)),
+            )
+            for changed, expert, rank in layer.trials(room)
+        ]
 
     def drop_for_room(self, loaded: list[Place], validity_s: float) -> list[Place]:
         """Drop what is worth less than the replica that the next plan can load in its place."""
@@ -394,15 +284,13 @@
         worth = step_time * size / self.group.store_bytes_s / validity_s
         dropped: list[Place] = []
         fresh = set(loaded)
-        wish_by_rank = dict.fromkeys(range(len(self.free)), worth)
+        full = {r for r, free in enumerate(self.free) if free < self.group.reserve_bytes}
+        wish_by_rank = dict.fromkeys(full, worth)
         for index in range(len(self.layers)):
-            choice = self._best(index, set(range(len(self.free))))
-            if choice is not None:
-                rank = choice.place.rank
-                wish_by_rank[rank] = max(wish_by_rank[rank], choice.saved - worth)
-        for rank, wish in wish_by_rank.items():
-            if self.free[rank] >= self.group.reserve_bytes:
-                continue
+            for choice in self._choices(index, full):
+                place = choice.place
+                wish_by_rank[place.rank] = max(wish_by_rank[place.rank], choice.saved - worth)
+        for rank, wish in sorted(wish_by_rank.items(), key=lambda item: -item[1]):
             least = self._least_useful(rank, fresh)
             if least is not None and least.saved < wish:
                 self.layers[least.place.layer] = least.layer
@@ -433,8 +321,3 @@
         )
         for expert, amounts in enumerate(layer.amounts)
     )
-
-
-def _normalised(counts: Sequence[float]) -> list[float]:
-    total = sum(counts)
-    return [count / total for count in counts] if total > 0.0 else [1.0 / len(counts)] * len(counts)
