Keep failed and silent servers out until they report again, and defer retries

Cause: a dead server ends its requests at once, looks idle and attracted the retries; requests without budget were given up although their deadline was far. Change: after a failure a server gets no new work for 0.5 to 8 s and not before its next load report; a grant ends 2 s after its report; a spent budget defers a retry instead of ending the request. The hash ring moves to a module.

--- /dev/null
+++ b/packages/core/src/gentianpaddle_core/_ring.py
@@ -0,0 +1,76 @@
+"""Hash ring of the eligible servers of one model."""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc
+import hashlib
+import typing
+
+from gentianpaddle_core import ids
+
+DRAWS_LIMIT = 48
+"""Points of the seeded sequence visited to find the candidates."""
+POINTS_PER_SERVER = 4
+"""Points of a server on the ring; more points even out the shares."""
+HASH_MASK = (1 << 64) - 1
+
+Item = typing.TypeVar("Item")
+
+
+class Ring(typing.Generic[Item]):
+    """Servers on a ring, each at several points, with what the caller keeps of them."""
+
+    def __init__(self) -> None:
+        """Create an empty ring."""
+        self._points: list[tuple[int, ids.BackendServerId]] = []
+        self.item_by_id: dict[ids.BackendServerId, Item] = {}
+
+    def add(self, server: ids.BackendServerId, item: Item) -> None:
+        """Add a server; no effect when it is on the ring."""
+        if server not in self.item_by_id:
+            self.item_by_id[server] = item
+            for point in _server_points(server):
+                bisect.insort(self._points, (point, server))
+
+    def remove(self, server: ids.BackendServerId) -> None:
+        """Remove a server; no effect when it is not on the ring."""
+        if server in self.item_by_id:
+            del self.item_by_id[server]
+            for point in _server_points(server):
+                del self._points[bisect.bisect_left(self._points, (point, server))]
+
+    def candidates(
+        self, fingerprint: ids.Fingerprint, small: int
+    ) -> collections.abc.Iterable[ids.BackendServerId]:
+        """Servers to consider for a request, which may repeat.
+
+        Args:
+            fingerprint: Fingerprint of the request, which seeds the sequence.
+            small: Size up to which all servers are returned.
+
+        Returns:
+            All servers of a small ring, else those at seeded points.
+        """
+        return self.item_by_id if len(self.item_by_id) <= small else self._sequence(fingerprint)
+
+    def _sequence(
+        self, fingerprint: ids.Fingerprint
+    ) -> collections.abc.Iterator[ids.BackendServerId]:
+        points = self._points
+        state = _hash(fingerprint)
+        for _ in range(DRAWS_LIMIT):
+            # Steps of splitmix64, which is cheaper than a hash per point.
+            state = (state + 0x9E3779B97F4A7C15) & HASH_MASK
+            mixed = ((state ^ (state >> 30)) * 0xBF58476D1CE4E5B9) & HASH_MASK
+            mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & HASH_MASK
+            index = bisect.bisect_left(points, (mixed ^ (mixed >> 31), ""))
+            yield points[index % len(points)][1]
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
+
+
+def _server_points(server: ids.BackendServerId) -> list[int]:
+    return [_hash(f"{server}/{number}") for number in range(POINTS_PER_SERVER)]
--- a/packages/core/src/gentianpaddle_core/retries.py
+++ b/packages/core/src/gentianpaddle_core/retries.py
@@ -15,6 +15,9 @@
 """Largest budget, so a quiet hour does not pay for a storm of retries."""
 FREE_DECLINES_LIMIT = 3
 """Declines of one request that cost no budget. A decline costs a message and no engine time."""
+LATER_S = 0.1
+"""Time after which a request asks again for a spent budget. Giving up at once would lose requests
+that a later retry still answers before their deadline, without adding more load."""
 HEDGE_FACTOR = 2.0
 """A hedge waits for this multiple of the predicted first-token time."""
 HEDGE_MINIMUM_S = 0.05
@@ -37,8 +40,6 @@
 
     DEADLINE = "deadline"
     """An answer would come after the deadline."""
-    BUDGET = "budget"
-    """The budget is spent."""
     MAY_HAVE_RUN = "may_have_run"
     """The request is not idempotent and may have run."""
 
@@ -51,6 +52,14 @@
     """True when it cost no budget."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Later:
+    """The budget is spent; ask again with the same arguments."""
+
+    look_again_s: float
+    """Time to ask again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GiveUp:
     """Make no further attempt."""
@@ -97,7 +106,7 @@
         deadline_s: float,
         expected_s: float,
         now_s: float,
-    ) -> Retry | GiveUp:
+    ) -> Retry | Later | GiveUp:
         """Decide after an attempt ended without an answer; spends when it allows a retry.
 
         Args:
@@ -109,7 +118,7 @@
             now_s: Monotonic time.
 
         Returns:
-            Whether to make another attempt.
+            Whether to make another attempt now, later or not at all.
         """
         if ending is Ending.FAILED and not idempotent:
             return GiveUp(Reason.MAY_HAVE_RUN)
@@ -117,7 +126,7 @@
             return GiveUp(Reason.DEADLINE)
         if ending is Ending.DECLINED and declines <= FREE_DECLINES_LIMIT:
             return Retry(free=True)
-        return Retry(free=False) if self._spend() else GiveUp(Reason.BUDGET)
+        return Retry(free=False) if self._spend() else Later(now_s + LATER_S)
 
     def hedge(
         self,
--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -7,27 +7,30 @@
 
 from __future__ import annotations
 
-import bisect
-import collections.abc
 import dataclasses
 import enum
-import hashlib
 import itertools
+import math
 import typing
 
-from gentianpaddle_core import declarations, ids, prefix_index, scoring
+from gentianpaddle_core import _ring, declarations, ids, prefix_index, scoring
 
 CANDIDATES_LIMIT = 16
 """Servers weighed in one decision."""
-DRAWS_LIMIT = 48
-"""Points of the seeded sequence visited to find the candidates."""
-POINTS_PER_SERVER = 4
-"""Points of a server on the ring; more points even out the shares."""
+BARRED_S = (0.5, 8.0)
+"""Shortest and longest time without new work after a server failed; doubles with each failure. A
+failing server ends its requests fast and looks idle, so it would attract all retries."""
+GRANT_LIFETIME_S = 2.0
+"""A grant ends this long after the load report that carried it."""
 RETRY_WAIT_S = 0.05
 """Wait before the next look when no event is known that frees capacity."""
+BARRED_S = (0.5, 8.0)
+"""Shortest and longest time without new work after a server failed; doubles with each failure. A
+failing server ends its requests fast and looks idle, so it would attract all retries."""
+GRANT_LIFETIME_S = 2.0
+"""A grant ends this long after the load report that carried it."""
 NO_SERVER_RETRY_AFTER_S = 2.0
 """Advice to callers while no server of a model is available."""
-HASH_MASK = (1 << 64) - 1
 
 
 class State(enum.StrEnum):
@@ -174,48 +177,15 @@
     server: BackendServer
     score: scoring.ServerScore
     state: State = State.ALIVE
+    failures: int = 0
+    failed_s: float = -math.inf
+    barred_until_s: float = -math.inf
 
-
-class _Ring:
-    """Eligible servers of one model on a hash ring."""
-
-    def __init__(self) -> None:
-        self._points: list[tuple[int, ids.BackendServerId]] = []
-        self.entry_by_id: dict[ids.BackendServerId, _Entry] = {}
-
-    def add(self, entry: _Entry) -> None:
-        server = entry.server.id
-        if server not in self.entry_by_id:
-            self.entry_by_id[server] = entry
-            for point in _server_points(server):
-                bisect.insort(self._points, (point, server))
-
-    def remove(self, server: ids.BackendServerId) -> None:
-        if server in self.entry_by_id:
-            del self.entry_by_id[server]
-            for point in _server_points(server):
-                del self._points[bisect.bisect_left(self._points, (point, server))]
-
-    def candidates(
-        self, fingerprint: ids.Fingerprint
-    ) -> collections.abc.Iterable[ids.BackendServerId]:
-        """All servers of a small fleet, else those of a sequence seeded by the request."""
-        if len(self.entry_by_id) <= CANDIDATES_LIMIT:
-            return self.entry_by_id
-        return self._sequence(fingerprint)
-
-    def _sequence(
-        self, fingerprint: ids.Fingerprint
-    ) -> collections.abc.Iterator[ids.BackendServerId]:
-        points = self._points
-        state = _hash(fingerprint)
-        for _ in range(DRAWS_LIMIT):
-            # Steps of splitmix64, which is cheaper than a hash per point.
-            state = (state + 0x9E3779B97F4A7C15) & HASH_MASK
-            mixed = ((state ^ (state >> 30)) * 0xBF58476D1CE4E5B9) & HASH_MASK
-            mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & HASH_MASK
-            index = bisect.bisect_left(points, (mixed ^ (mixed >> 31), ""))
-            yield points[index % len(points)][1]
+    def usable(self, now_s: float) -> bool:
+        """Whether the grant is fresh and a report has come since the last failure."""
+        reported_s = self.score.reported_s
+        fresh = now_s - reported_s <= GRANT_LIFETIME_S
+        return fresh and self.barred_until_s <= now_s and reported_s > self.failed_s
 
 
 class _Weighed(typing.NamedTuple):
@@ -235,7 +205,7 @@
         self._place = place
         self._index = index
         self._entry_by_id: dict[ids.BackendServerId, _Entry] = {}
-        self._ring_by_model: dict[ids.ModelName, _Ring] = {}
+        self._ring_by_model: dict[ids.ModelName, _ring.Ring[_Entry]] = {}
         self._lines_by_model: dict[ids.ModelName, scoring.ModelLines] = {}
         self._data_centres_out: frozenset[ids.DataCentreId] = frozenset()
         self._vms_out: frozenset[ids.VmId] = frozenset()
@@ -297,10 +267,12 @@
         entry = self._entry_by_id.get(server)
         return 0 if entry is None else entry.score.outstanding
 
-    def room(self, server: ids.BackendServerId) -> int:
+    def room(self, server: ids.BackendServerId, now_s: float) -> int:
         """Further requests that may be sent to a server now, 0 when it may get no work."""
         entry = self._entry_by_id.get(server)
-        return 0 if entry is None or not self._eligible(entry) else max(0, entry.score.room)
+        if entry is None or not self._eligible(entry) or not entry.usable(now_s):
+            return 0
+        return max(0, entry.score.room)
 
     def choose(self, request: Request, now_s: float) -> Decision:
         """Choose a backend server; changes nothing.
@@ -313,13 +285,13 @@
             A server, a time to ask again, or a refusal.
         """
         ring = self._ring_by_model.get(request.model)
-        if ring is None or ring.entry_by_id.keys() <= request.tried:
+        if ring is None or ring.item_by_id.keys() <= request.tried:
             return NoCapacity(NO_SERVER_RETRY_AFTER_S, Reason.NO_SERVER)
         cached = {
             match.backend_server: match.expected_cached_tokens
             for match in self._index.matches(request.prefix_hashes, now_s)
         }
-        candidates = self._candidates(ring, request, cached)
+        candidates = self._candidates(ring, request, cached, now_s)
         if not candidates:
             if now_s >= request.arrived_s + request.class_of_work.deadline_s:
                 return NoCapacity(RETRY_WAIT_S, Reason.DEADLINE)
@@ -346,6 +318,7 @@
         """Learn from the first token of an attempt, or from the whole answer of a service."""
         entry = self._entry_by_id.get(server)
         if entry is not None:
+            entry.failures = 0
             entry.score.first_token(attempt, now_s)
 
     def finished(
@@ -355,7 +328,7 @@
         gap_s: float | None,
         now_s: float,
     ) -> None:
-        """Count an attempt as over: ended, failed, declined or cancelled.
+        """Count an attempt as over: ended, declined or cancelled.
 
         Args:
             server: Where it was sent.
@@ -367,17 +340,45 @@
         if entry is not None:
             entry.score.finished(attempt, gap_s, now_s)
 
+    def failed(
+        self, server: ids.BackendServerId, attempt: tuple[ids.RequestKey, int], now_s: float
+    ) -> None:
+        """Count an attempt that ended because the server or its link failed.
+
+        The server gets no new work from this entry for a while and not before its next load
+        report, so a dead one gets none long before membership knows.
+
+        Args:
+            server: Where it was sent.
+            attempt: Request key and attempt number.
+            now_s: Monotonic time.
+        """
+        entry = self._entry_by_id.get(server)
+        if entry is None:
+            return
+        entry.score.finished(attempt, None, now_s)
+        entry.failed_s = now_s
+        if now_s >= entry.barred_until_s:
+            shortest_s, longest_s = BARRED_S
+            entry.barred_until_s = now_s + min(longest_s, shortest_s * 2**entry.failures)
+            entry.failures = min(entry.failures + 1, 8)
+
     def _candidates(
         self,
-        ring: _Ring,
+        ring: _ring.Ring[_Entry],
         request: Request,
         cached: dict[ids.BackendServerId, float],
+        now_s: float,
     ) -> dict[ids.BackendServerId, scoring.ServerScore]:
         found: dict[ids.BackendServerId, scoring.ServerScore] = {}
-        entry_by_id, tried = ring.entry_by_id, request.tried
-        for server in itertools.chain(cached, ring.candidates(request.fingerprint)):
+        entry_by_id, tried = ring.item_by_id, request.tried
+        for server in itertools.chain(
+            cached, ring.candidates(request.fingerprint, CANDIDATES_LIMIT)
+        ):
             entry = entry_by_id.get(server)
-            if entry is not None and entry.score.room > 0 and server not in tried:
+            if entry is None or entry.score.room <= 0 or server in tried:
+                continue
+            if entry.usable(now_s):
                 found[server] = entry.score
                 if len(found) >= CANDIDATES_LIMIT:
                     break
@@ -427,8 +428,8 @@
     def _full_one_meets(self, request: Request, gap_target_s: float, now_s: float) -> bool:
         """Whether a server without room now would meet the target between tokens."""
         ring = self._ring_by_model[request.model]
-        for server in ring.candidates(request.fingerprint):
-            score = ring.entry_by_id[server].score
+        for server in ring.candidates(request.fingerprint, CANDIDATES_LIMIT):
+            score = ring.item_by_id[server].score
             full = score.room <= 0 < score.load.limit and server not in request.tried
             if full and score.gap_s(now_s) <= gap_target_s:
                 return True
@@ -449,7 +450,7 @@
             self._leave_rings(entry)
             return
         for model in entry.server.targets:
-            self._ring_by_model.setdefault(model, _Ring()).add(entry)
+            self._ring_by_model.setdefault(model, _ring.Ring()).add(entry.server.id, entry)
 
     def _leave_rings(self, entry: _Entry) -> None:
         for model in entry.server.targets:
@@ -466,11 +467,3 @@
         prefixes_limit: Prompt prefixes remembered.
     """
     return Router(place, prefix_index.new_prefix_index(prefixes_limit))
-
-
-def _hash(text: str) -> int:
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
-
-
-def _server_points(server: ids.BackendServerId) -> list[int]:
-    return [_hash(f"{server}/{number}") for number in range(POINTS_PER_SERVER)]
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -69,3 +69,110 @@
     assert isinstance(chosen, routing.Routed)
     assert chosen.backend_server == "b2"
     assert isinstance(router.choose(request(tried="b1 b2"), 0.1), routing.NoCapacity)
+
+
+def chosen(decision: routing.Decision) -> str:
+    return decision.backend_server if isinstance(decision, routing.Routed) else decision.reason
+
+
+@pytest.mark.parametrize(
+    ("reported_s", "now_s", "result"),
+    [
+        (None, 0.6, "no_grant"),
+        (None, 1.9, "no_grant"),
+        (1.1, 1.2, "meets_target"),
+        (0.4, 0.45, "no_grant"),
+        (0.1, 2.5, "no_grant"),
+    ],
+)
+def test_failed_server_gets_no_work_before_its_next_report(
+    reported_s: float | None, now_s: float, result: str
+):
+    router = router_of("b1")
+    attempt = (ids.RequestKey("k"), 1)
+    router.sent(ids.BackendServerId("b1"), attempt, request(), 200.0, 0.1)
+    router.failed(ids.BackendServerId("b1"), attempt, 0.1)
+    if reported_s is not None:
+        router.report(ids.BackendServerId("b1"), LOAD, reported_s)
+    assert router.choose(request(), now_s).reason == result
+
+
+def test_grant_ends_without_reports():
+    router = router_of("b1")
+    assert chosen(router.choose(request(), routing.GRANT_LIFETIME_S)) == "b1"
+    assert chosen(router.choose(request(), routing.GRANT_LIFETIME_S + 0.1)) == "no_grant"
+
+
+def test_own_requests_since_the_report_count():
+    router = router_of("b1 b2")
+    counts = {"b1": 0, "b2": 0}
+    for number in range(16):
+        name = chosen(router.choose(request(str(number)), 0.1))
+        counts[name] += 1
+        attempt = (ids.RequestKey(str(number)), 1)
+        router.sent(ids.BackendServerId(name), attempt, request(), 200.0, 0.1)
+    assert counts == {"b1": 8, "b2": 8}
+    assert chosen(router.choose(request("last"), 0.1)) == "no_grant"
+
+
+@pytest.mark.parametrize(
+    ("loads", "prompt", "result"),
+    [
+        # Slow steps of a straggler, a long queue of prompts, a ramp that has only begun.
+        ({"b1": scoring.Load(16, 2, 0, 8, 0.040)}, b"", "b2"),
+        ({"b1": scoring.Load(16, 2, 9_000, 8, 0.013)}, b"", "b2"),
+        ({"b1": scoring.Load(1, 2, 0, 8, 0.013)}, b"", "b2"),
+        ({"b2": scoring.Load(16, 8, 0, 8, 0.0148)}, b"", "b1"),
+        # A cached prompt outweighs a little more load, but not a straggler.
+        ({"b1": scoring.Load(16, 4, 0, 8, 0.013)}, b"x" * 16_384, "b1"),
+        ({"b1": scoring.Load(16, 4, 0, 8, 0.080)}, b"x" * 16_384, "b2"),
+    ],
+)
+def test_choice_follows_the_load(loads: dict[str, scoring.Load], prompt: bytes, result: str):
+    router = router_of("b1 b2")
+    attempt = (ids.RequestKey("k"), 1)
+    if prompt:
+        router.sent(ids.BackendServerId("b1"), attempt, request(prompt=prompt), 1.0, 0.0)
+        router.finished(ids.BackendServerId("b1"), attempt, None, 0.0)
+    for step in range(1, 30):
+        for name in ("b1", "b2"):
+            router.report(ids.BackendServerId(name), loads.get(name, LOAD), step * 0.5)
+    assert chosen(router.choose(request(prompt=prompt), 14.6)) == result
+
+
+def test_lost_cache_is_forgotten():
+    router = router_of("b1 b2")
+    attempt = (ids.RequestKey("k"), 1)
+    wanted = request(prompt=b"x" * 16_384)
+    router.sent(ids.BackendServerId("b1"), attempt, wanted, 1.0, 0.0)
+    router.finished(ids.BackendServerId("b1"), attempt, None, 0.0)
+    assert router.choose(wanted, 0.1).reason == "prefix"
+    restarted = scoring.Load(16, 2, 0, 8, 0.013, engine_incarnation=1)
+    router.report(ids.BackendServerId("b1"), restarted, 0.2)
+    assert router.choose(wanted, 0.3).reason == "meets_target"
+
+
+def test_repeated_copies_meet_few_servers_of_a_large_fleet():
+    names = " ".join(f"b{number}" for number in range(400))
+    reached = set()
+    for shuffled in (names, " ".join(reversed(names.split()))):
+        router, tried = router_of(shuffled), ""
+        for _ in range(12):
+            decision = router.choose(request(tried=tried), 0.1)
+            assert isinstance(decision, routing.Routed)
+            assert decision.candidates <= routing.CANDIDATES_LIMIT
+            reached.add(decision.backend_server)
+            tried += " " + decision.backend_server
+    assert len(reached) <= 2 * routing.CANDIDATES_LIMIT
+
+
+@pytest.mark.parametrize(
+    ("now_s", "result"), [(0.1, "target_missed"), (1.85, "late"), (20.5, "deadline")]
+)
+def test_waits_for_a_fast_server_only_while_it_helps(now_s: float, result: str):
+    router = router_of("b1 b2")
+    for step in range(40):
+        at_s = now_s - 0.05 * (40 - step) + 0.04
+        router.report(ids.BackendServerId("b1"), scoring.Load(16, 4, 0, 8, 0.050), at_s)
+        router.report(ids.BackendServerId("b2"), scoring.Load(16, 16, 0, 0, 0.016), at_s)
+    assert router.choose(request(), now_s).reason == result
