--- a/packages/core/src/gentianpaddle_core/configuration_parts.py
+++ b/packages/core/src/gentianpaddle_core/configuration_parts.py
@@ -11,11 +11,11 @@
 
 from gentianpaddle_core import ids
 
-DIFFERENCE_LIMIT_BYTES = 8_192
+DIFFERENCE_LIMIT_BYTES = 4_096
 """Largest difference that is kept; above it the document goes in parts."""
 DIFFERENCES_KEPT = 64
 """Number of latest differences that a process can pass on."""
-PART_LIMIT_BYTES = 6_144
+PART_LIMIT_BYTES = 4_096
 """Largest data of one part."""
 DOCUMENT_LIMIT_BYTES = 1_000_000
 """Largest document, as the object API allows."""
--- a/packages/core/src/gentianpaddle_core/digest.py
+++ b/packages/core/src/gentianpaddle_core/digest.py
@@ -24,20 +24,28 @@
 """Time between two rounds of an entry."""
 AGENT_ROUND_S = 1.0
 """Time between two rounds of an agent, which also hears entries on its streams."""
-NEIGHBOURS_A_ROUND = 2
-"""Neighbours that an entry contacts in a round."""
 STATE_SENDS = 10
 """Messages that carry a record after its state changed."""
+BULK_STATES = 32
+"""Number of changed states above which each is sent less often, as after a lost region."""
+BULK_STATE_SENDS = 3
+"""Messages that carry a changed record then; differing buckets bring what is missed."""
 HEARTBEAT_SENDS = 3
 """Messages that carry a heartbeat after it rose; each is forwarded by most members."""
 SILENCE_FIRST_S = 1.0
-"""Silence after which a neighbour is contacted out of turn."""
+"""Silence after which a monitored neighbour is contacted out of turn."""
+EXTRA_CONTACTS = 2
+"""Largest number of such contacts in a round."""
 LOST_MEMBER_ROUNDS = 4
-"""Every so many rounds one dead member or seed is tried, so that a lost region is found again."""
-SEND_RATE_BYTES_S = 8_192.0
-"""Budget for everything but the fixed part of messages; half of a node's 16 KB/s."""
-SEND_BURST_BYTES = 10_240.0
+"""Every so many rounds dead members are tried, so that a lost region is found again."""
+LOST_MEMBER_TRIES = 4
+"""Tries of each dead member by the whole fleet in that time."""
+SEND_RATE_BYTES_S = 7_168.0
+"""Budget for everything but the fixed part of messages, which takes about 2 KB/s of 16 KB/s."""
+SEND_BURST_BYTES = 5_120.0
 """Largest saved budget; above the largest configuration difference."""
+STATE_BYTES = 512.0
+"""Share of a message that changed states may take even without budget."""
 DIFFERING_PEERS = 32
 """Peers of which the differing buckets are remembered until the next contact."""
 
@@ -94,7 +102,6 @@
         """Crash records; put own ones with `put_crash`."""
         self._seeds = seeds
         self._choice = neighbours.new_neighbours(table.own)
-        self._turn: list[ids.VmId] = []
         self._round = 0
         self._state_sends: dict[ids.VmId, int] = {}
         self._heartbeat_sends: dict[ids.VmId, int] = {}
@@ -120,7 +127,7 @@
             now_s: Monotonic time in seconds.
         """
         self.table.announce(state, now_s)
-        self._note_changed(self.table.own.vm, membership.MergeResult.STATE)
+        self.note_changed(self.table.own.vm, membership.MergeResult.STATE)
 
     def put_configuration(self, revision: ids.Revision, document: bytes, read_s: float) -> bool:
         """Put in force what a watcher or a reader got from the object API.
@@ -176,18 +183,17 @@
             everyone: Contact all neighbours at once, for an urgent change.
 
         Returns:
-            Requests to up to 2 neighbours, and at times one to a dead member or a seed.
+            Requests to 2 neighbours of an entry or 1 of an agent, to further silent neighbours,
+            and at times to a dead member or a seed.
         """
         for record in self.table.tick(now_s):
             same = record.vm == self.table.own.vm and record.state is self.table.own.state
             kind = membership.MergeResult.HEARTBEAT if same else membership.MergeResult.STATE
-            self._note_changed(record.vm, kind)
+            self.note_changed(record.vm, kind)
         self._round += 1
         chosen = self._choice.update(self.table)
-        entry = self.table.own.role is membership.Role.ENTRY
-        # An agent contacts each of its neighbours too rarely to judge their silence.
-        self.table.monitor(chosen if entry else ())
-        targets = chosen if everyone else self._targets(chosen, now_s, rng)
+        self.table.monitor(self._choice.monitored)
+        targets = chosen if everyone else self._targets(chosen, now_s)
         outgoing = [self._outgoing_to(vm, now_s, rng) for vm in targets]
         if self._round % LOST_MEMBER_ROUNDS == 0 or not targets:
             outgoing.extend(self._lost_member(now_s, rng))
@@ -214,7 +220,7 @@
             request.revision, request.partial_revision, request.partial_bytes, int(budget)
         )
         sent = frozenset(record.vm for record in request.records)
-        records, digest = self._payload(differing, sent, now_s, rng)
+        records, digest = self._payload(differing, sent, budget - _parts_bytes(parts), rng)
         reply = digest_messages.ExchangeReply(
             vm=self.table.own.vm,
             records=records,
@@ -262,38 +268,32 @@
         if outgoing.vm is not None and refused:
             self.table.note_refused(outgoing.vm)
 
-    def _targets(
-        self, chosen: tuple[ids.VmId, ...], now_s: float, rng: random.Random
-    ) -> list[ids.VmId]:
-        entry = self.table.own.role is membership.Role.ENTRY
-        count = NEIGHBOURS_A_ROUND if entry else 1
-        known = set(chosen)
-        self._turn = [vm for vm in self._turn if vm in known]
-        targets: list[ids.VmId] = []
-        silent = max(chosen, key=lambda vm: self.table.silence_s(vm, now_s), default=None)
-        if entry and silent and self.table.silence_s(silent, now_s) > SILENCE_FIRST_S:
-            targets.append(silent)
-        while len(targets) < min(count, len(chosen)):
-            if not self._turn:
-                self._turn = list(chosen)
-                rng.shuffle(self._turn)
-            vm = self._turn.pop()
-            if vm not in targets:
-                targets.append(vm)
+    def _targets(self, chosen: tuple[ids.VmId, ...], now_s: float) -> list[ids.VmId]:
+        """One monitored neighbour, the longest silent, and one of the others in turn."""
+        targets = sorted(
+            self._choice.monitored, key=lambda vm: self.table.silence_s(vm, now_s), reverse=True
+        )[: 1 + EXTRA_CONTACTS]
+        while len(targets) > 1 and self.table.silence_s(targets[-1], now_s) < SILENCE_FIRST_S:
+            targets.pop()
+        others = [vm for vm in chosen if vm not in self._choice.monitored]
+        if others:
+            targets.append(others[self._round % len(others)])
         return targets
 
     def _lost_member(self, now_s: float, rng: random.Random) -> list[Outgoing]:
         own = self.table.own
-        lost = [
-            settings.Address(record.host, record.port)
+        entries = [
+            record
             for record in self.table.records()
-            if record.state is membership.State.DEAD and record.role is membership.Role.ENTRY
-        ]
-        addresses = [
-            address
-            for address in (*lost, *self._seeds)
-            if (address.host, address.port) != (own.host, own.port)
+            if record.role is membership.Role.ENTRY and record.vm != own.vm
         ]
+        lost = [record for record in entries if record.state is membership.State.DEAD]
+        addresses = [settings.Address(record.host, record.port) for record in lost]
+        if len(lost) == len(entries):
+            own_address = settings.Address(own.host, own.port)
+            addresses += [seed for seed in self._seeds if seed != own_address]
+        elif rng.random() * (len(entries) - len(lost)) > LOST_MEMBER_TRIES * len(lost):
+            return []
         if not addresses:
             return []
         address = rng.choice(addresses)
@@ -310,7 +310,6 @@
     ) -> digest_messages.ExchangeRequest:
         budget = self._refill(now_s)
         differing = self._differing_by_peer.pop(vm, ()) if vm else ()
-        records, digest = self._payload(differing, frozenset(), now_s, rng)
         own = self.configuration
         peer_revision = self._revision_by_peer.get(vm) if vm else None
         parts: tuple[configuration_parts.ConfigurationPart, ...] = ()
@@ -319,6 +318,8 @@
             none = ids.Revision(0)
             found = own.parts_for(peer_revision, none, 0, int(budget))
             parts = tuple(part for part in found if part.base_revision)
+        left = budget - _parts_bytes(parts)
+        records, digest = self._payload(differing, frozenset(), left, rng)
         request = digest_messages.ExchangeRequest(
             vm=self.table.own.vm,
             records=records,
@@ -340,13 +341,13 @@
         now_s: float,
     ) -> None:
         for record in message.records[: digest_messages.RECORD_LIMIT]:
-            self._note_changed(record.vm, self.table.merge(record, now_s))
+            self.note_changed(record.vm, self.table.merge(record, now_s))
         for item in message.digest[: digest_messages.RECORD_LIMIT]:
             known = self.table.record(item.vm)
             # An unknown incarnation needs its address, which the differing bucket brings.
             if known and known.incarnation == item.incarnation:
                 record = dataclasses.replace(known, heartbeat=item.heartbeat, state=item.state)
-                self._note_changed(item.vm, self.table.merge(record, now_s))
+                self.note_changed(item.vm, self.table.merge(record, now_s))
         self.table.note_contact(message.vm, now_s)
         if self.table.record(message.vm):
             self._revision_by_peer[message.vm] = message.revision
@@ -357,11 +358,12 @@
         for crash in message.crashes[: crash_exchange.CRASHES_A_MESSAGE]:
             self.put_crash(crash, now_s)
 
-    def _note_changed(self, vm: ids.VmId, result: membership.MergeResult) -> None:
+    def note_changed(self, vm: ids.VmId, result: membership.MergeResult) -> None:
         if result is membership.MergeResult.HEARTBEAT:
             self._heartbeat_sends[vm] = HEARTBEAT_SENDS
         elif result is not membership.MergeResult.NOTHING:
-            self._state_sends[vm] = STATE_SENDS
+            bulk = len(self._state_sends) >= BULK_STATES
+            self._state_sends[vm] = BULK_STATE_SENDS if bulk else STATE_SENDS
             self._heartbeat_sends.pop(vm, None)
             self._learned_vms.add(vm)
 
@@ -373,12 +375,12 @@
         self,
         differing: tuple[int, ...],
         already_sent: frozenset[ids.VmId],
-        now_s: float,
+        budget: float,
         rng: random.Random,
     ) -> tuple[tuple[membership.MemberRecord, ...], tuple[digest_messages.MemberDigest, ...]]:
-        budget = self._refill(now_s)
         own = self.table.own
         chosen = {own.vm: own}
+        budget = max(budget, STATE_BYTES)
         for vm in self._by_sends(self._state_sends):
             record = self.table.record(vm)
             if record is None or vm in already_sent or vm in chosen:
@@ -434,7 +436,12 @@
     ) -> None:
         fixed = digest_messages.BASE_BYTES + digest_messages.HASH_BYTES * membership.BUCKETS
         size = digest_messages.message_bytes(message) - fixed
-        self._budget = max(0.0, self._budget - max(0, size))
+        # A debt is allowed, so that the average holds; it is bounded for the sake of states.
+        self._budget = max(-SEND_BURST_BYTES, self._budget - max(0, size))
+
+
+def _parts_bytes(parts: tuple[configuration_parts.ConfigurationPart, ...]) -> int:
+    return sum(len(part.data) for part in parts)
 
 
 def _count_down(sends: dict[ids.VmId, int], vm: ids.VmId) -> None:
--- a/packages/core/src/gentianpaddle_core/membership.py
+++ b/packages/core/src/gentianpaddle_core/membership.py
@@ -11,7 +11,7 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 
-from gentianpaddle_core import ids
+from gentianpaddle_core import ids, rendezvous
 
 SUSPECT_AFTER_S = 3.0
 """Silence after which a monitored member is suspected."""
@@ -165,7 +165,9 @@
         self._leaving_hint: dict[ids.VmId, ids.Incarnation] = {}
         self._tick_s = now_s
         self._heard_s = now_s
-        self._heartbeat_s = now_s
+        # Processes that start together raise their heartbeats at different times.
+        share = rendezvous.weight("heartbeat", own.vm) / 2**64
+        self._heartbeat_s = now_s - share * HEARTBEAT_PERIOD_S
         self.settled = False
         """Whether a peer has answered; until then the incarnation may still be raised."""
         self.replaced = False
--- a/packages/core/src/gentianpaddle_core/neighbours.py
+++ b/packages/core/src/gentianpaddle_core/neighbours.py
@@ -25,6 +25,8 @@
         self._own = own
         self._version = -1
         self._chosen: tuple[ids.VmId, ...] = ()
+        self.monitored: tuple[ids.VmId, ...] = ()
+        """Those on the ring, which contact this process as well: it judges their silence."""
         self._ring_by_vm: dict[ids.VmId, int] = {}
         self._pair_by_vm: dict[ids.VmId, int] = {}
 
@@ -53,6 +55,7 @@
         ]
         chosen = self._ring(entries) if self._own.role is membership.Role.ENTRY else []
         ranked = sorted(entries, key=lambda record: (self._pair(record.vm), record.vm))
+        self.monitored = tuple(chosen)
         centres = {record.data_centre for record in entries if record.vm in set(chosen)}
         for distinct in (True, False):
             for record in reversed(ranked):
