--- a/packages/command/src/gentianpaddle_command/_demo_system.py
+++ b/packages/command/src/gentianpaddle_command/_demo_system.py
@@ -149,9 +149,10 @@
             process=self._process(name, centre, address),
             http=http_address,
             operator_tokens=(OPERATOR_TOKEN,),
+            entry_ttl_s=ENTRY_TTL_S,
             limits=settings.EntryLimits(1_000_000, 16_384, 128, 500, 10.0),
         )
-        process = entry_process.new_entry_process(own, ttl_s=ENTRY_TTL_S)
+        process = entry_process.new_entry_process(own)
         process.start()
         self.entries.append(process)
         self.entry_urls.append(f"http://127.0.0.1:{http_address.port}")
--- a/packages/core/src/gentianpaddle_core/settings.py
+++ b/packages/core/src/gentianpaddle_core/settings.py
@@ -10,6 +10,7 @@
 from gentianpaddle_core import ids, mistakes
 
 PORT_LIMIT = 65_535
+ENTRY_TTL_S = 20.0
 LOG_FORMATS = ("key-value", "json")
 
 
@@ -71,6 +72,8 @@
     """Address for callers."""
     operator_tokens: tuple[str, ...]
     """Bearer tokens of operators."""
+    entry_ttl_s: float
+    """Time for which callers keep the list of entries; a leaving entry serves on for it."""
     limits: EntryLimits
     """Limits on callers."""
 
@@ -133,12 +136,15 @@
     table = reader.parse(text)
     if table is None:
         return Rejected(tuple(reader.mistakes))
-    reader.known_keys(table, "", (*_PROCESS_KEYS, "http", "operator_tokens", "limits"))
+    reader.known_keys(
+        table, "", (*_PROCESS_KEYS, "http", "operator_tokens", "entry_ttl_s", "limits")
+    )
     limits = reader.table(table, "", "limits")
     parsed = EntrySettings(
         process=_process(reader, table),
         http=_address(reader, reader.text(table, "", "http"), "http"),
         operator_tokens=_secrets(reader, table, "operator_tokens"),
+        entry_ttl_s=reader.number(table, "", "entry_ttl_s", 0.1, 3_600.0, ENTRY_TTL_S),
         limits=_limits(reader, limits),
     )
     return Rejected(tuple(reader.mistakes)) if reader.mistakes else parsed
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -51,7 +51,6 @@
 
 START_TIMEOUT_S = 10.0
 STOP_LIMIT_S = 600.0
-ENTRY_TTL_S = 20.0
 EXPIRE_PERIOD_S = 0.1
 STORE_THREADS = 8
 WATCH_THREADS = 1
@@ -65,14 +64,9 @@
 class EntryProcess:
     """A running entry."""
 
-    def __init__(
-        self,
-        own: settings.EntrySettings,
-        store: object_api.ObjectApi,
-        ttl_s: float = ENTRY_TTL_S,
-    ) -> None:
+    def __init__(self, own: settings.EntrySettings, store: object_api.ObjectApi) -> None:
         self._own = own
-        self._ttl_s = ttl_s
+        self._ttl_s = own.entry_ttl_s
         self._loop = loop_thread.new_loop_thread(f"entry-{own.process.vm}")
         self._metrics = metrics.new_metrics()
         self._store_threads = futures.ThreadPoolExecutor(STORE_THREADS, "object-api")
@@ -259,15 +253,14 @@
     )
 
 
-def new_entry_process(own: settings.EntrySettings, ttl_s: float = ENTRY_TTL_S) -> EntryProcess:
+def new_entry_process(own: settings.EntrySettings) -> EntryProcess:
     """Create an entry that uses the platform's object API.
 
     Args:
         own: Its settings.
-        ttl_s: Time to live of the list of entries that callers get.
 
     Returns:
         The process, not started.
     """
     store = object_api_http.HttpObjectApi(own.process.object_api_url)
-    return EntryProcess(own, store, ttl_s)
+    return EntryProcess(own, store)
