Take a grant as used up after a decline

Change: Router.declined leaves no room at that server until the next load report or end of a request.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -195,7 +195,7 @@
             self.pump()
 
         def declined() -> None:
-            self.router.finished(server, attempt, None, self._clock.now_s)
+            self.router.declined(server, attempt, self._clock.now_s)
             work.declines += 1
             self._failed(work, retries.Ending.DECLINED)
             self.pump()
--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -328,7 +328,7 @@
         gap_s: float | None,
         now_s: float,
     ) -> None:
-        """Count an attempt as over: ended, declined or cancelled.
+        """Count an attempt as over: ended or cancelled.
 
         Args:
             server: Where it was sent.
@@ -340,6 +340,19 @@
         if entry is not None:
             entry.score.finished(attempt, gap_s, now_s)
 
+    def declined(
+        self, server: ids.BackendServerId, attempt: tuple[ids.RequestKey, int], now_s: float
+    ) -> None:
+        """Count an attempt that the agent declined.
+
+        The grant is taken as used up until the next load report or end of a request. Otherwise
+        all waiting requests would follow at once and be declined as well.
+        """
+        entry = self._entry_by_id.get(server)
+        if entry is not None:
+            entry.score.finished(attempt, None, now_s)
+            entry.score.room = min(entry.score.room, 0)
+
     def failed(
         self, server: ids.BackendServerId, attempt: tuple[ids.RequestKey, int], now_s: float
     ) -> None:
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -97,6 +97,16 @@
     assert router.choose(request(), now_s).reason == result
 
 
+def test_decline_uses_up_the_grant_until_the_next_report():
+    router = router_of("b1")
+    attempt = (ids.RequestKey("k"), 1)
+    router.sent(ids.BackendServerId("b1"), attempt, request(), 200.0, 0.1)
+    router.declined(ids.BackendServerId("b1"), attempt, 0.2)
+    assert chosen(router.choose(request("other"), 0.2)) == "no_grant"
+    router.report(ids.BackendServerId("b1"), LOAD, 0.5)
+    assert chosen(router.choose(request("other"), 0.5)) == "b1"
+
+
 def test_grant_ends_without_reports():
     router = router_of("b1")
     assert chosen(router.choose(request(), routing.GRANT_LIFETIME_S)) == "b1"
