Move rates and server availability to modules of their own

Change: rates move to _rates.py; failures, declines and the age of a grant move to the score of a server. No change in behaviour is meant.

--- a/packages/core/src/gentianpaddle_core/admission.py
+++ b/packages/core/src/gentianpaddle_core/admission.py
@@ -10,10 +10,9 @@
 import collections
 import dataclasses
 import enum
-import math
 import typing
 
-from gentianpaddle_core import declarations, ids
+from gentianpaddle_core import _rates, declarations, ids
 
 QUANTUM_TOKENS = 4_096.0
 """Expected tokens that an organisation may start per round of its class."""
@@ -26,10 +25,6 @@
 ADMITTED_SHARE = 0.45
 """Share of the first-token target that the predicted wait may take. The distance to
 `IN_TIME_SHARE` absorbs errors of the prediction; without it most requests end just too late."""
-RATE_WINDOW_S = 5.0
-"""Time constant of the measured service rate."""
-FREE_RATE_TOKENS_S = 1e9
-"""Rate assumed before anything has had to wait."""
 RETRY_AFTER_LIMITS_S = (0.5, 120.0)
 """Bounds of the advice to callers."""
 
@@ -129,45 +124,6 @@
     return round(rank(class_of_work) * 1_000)
 
 
-class _Rate:
-    """Tokens started per second while requests wait."""
-
-    def __init__(self) -> None:
-        self._tokens = 0.0
-        self._busy_s = 0.0
-        self._began_s = 0.0
-        self._since_s: float | None = None
-
-    def begin(self, now_s: float) -> None:
-        if self._since_s is None:
-            self._began_s = self._since_s = now_s
-
-    def end(self, now_s: float) -> None:
-        self._add(0.0, now_s)
-        self._since_s = None
-
-    def started(self, tokens: float, now_s: float) -> None:
-        # What starts without waiting says nothing about the rate while requests wait.
-        if now_s > self._began_s:
-            self._add(tokens, now_s)
-
-    def at(self, now_s: float) -> float:
-        since_s = now_s if self._since_s is None else self._since_s
-        busy_s = self._busy_s + max(0.0, now_s - since_s)
-        if busy_s < 0.1:
-            return FREE_RATE_TOKENS_S
-        return max(1.0, self._tokens / busy_s)
-
-    def _add(self, tokens: float, now_s: float) -> None:
-        if self._since_s is None:
-            return
-        passed_s = max(0.0, now_s - self._since_s)
-        keep = math.exp(-passed_s / RATE_WINDOW_S)
-        self._busy_s = self._busy_s * keep + passed_s
-        self._tokens = self._tokens * keep + tokens
-        self._since_s = now_s
-
-
 class _Lane:
     """Waiting requests of one class at one model."""
 
@@ -176,9 +132,9 @@
         self.credit = 0.0
         self.tokens = 0.0
         """Tokens of requests that can still meet their target."""
-        self.offered = _Offered()
+        self.offered = _rates.OfferedRate()
         self.tokens_by_organisation: dict[ids.OrganisationId, float] = {}
-        self._offered_by_organisation: dict[ids.OrganisationId, _Offered] = {}
+        self._offered_by_organisation: dict[ids.OrganisationId, _rates.OfferedRate] = {}
         self._deficit_by_organisation: dict[ids.OrganisationId, float] = {}
         self._queue_by_organisation: collections.OrderedDict[
             ids.OrganisationId, list[tuple[float, int, Ticket]]
@@ -247,7 +203,7 @@
         """Add a new request and count it as demand."""
         self.add(ticket)
         self.offered.add(ticket.cost_tokens, now_s)
-        own = self._offered_by_organisation.setdefault(ticket.organisation, _Offered())
+        own = self._offered_by_organisation.setdefault(ticket.organisation, _rates.OfferedRate())
         own.add(ticket.cost_tokens, now_s)
 
     def predicted_wait_s(
@@ -281,29 +237,11 @@
         self.tokens = self.tokens + tokens if by_organisation else 0.0
 
 
-class _Offered:
-    """Decayed rate of accepted tokens."""
-
-    def __init__(self) -> None:
-        self._tokens = 0.0
-        self._updated_s = 0.0
-
-    def add(self, tokens: float, now_s: float) -> None:
-        self._tokens = self._tokens * self._keep(now_s) + tokens
-        self._updated_s = now_s
-
-    def rate(self, now_s: float) -> float:
-        return self._tokens * self._keep(now_s) / RATE_WINDOW_S
-
-    def _keep(self, now_s: float) -> float:
-        return math.exp(-max(0.0, now_s - self._updated_s) / RATE_WINDOW_S)
-
-
 class _ModelQueue:
     """Waiting requests of one model."""
 
     def __init__(self) -> None:
-        self.rate = _Rate()
+        self.rate = _rates.ServiceRate()
         self.lane_by_class: dict[ids.ClassName, _Lane] = {}
 
     def lane(self, class_of_work: declarations.ClassOfWork) -> _Lane:
--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -10,25 +10,14 @@
 import dataclasses
 import enum
 import itertools
-import math
 import typing
 
 from gentianpaddle_core import _ring, declarations, ids, prefix_index, scoring
 
 CANDIDATES_LIMIT = 16
 """Servers weighed in one decision."""
-BARRED_S = (0.5, 8.0)
-"""Shortest and longest time without new work after a server failed; doubles with each failure. A
-failing server ends its requests fast and looks idle, so it would attract all retries."""
-GRANT_LIFETIME_S = 2.0
-"""A grant ends this long after the load report that carried it."""
 RETRY_WAIT_S = 0.05
 """Wait before the next look when no event is known that frees capacity."""
-BARRED_S = (0.5, 8.0)
-"""Shortest and longest time without new work after a server failed; doubles with each failure. A
-failing server ends its requests fast and looks idle, so it would attract all retries."""
-GRANT_LIFETIME_S = 2.0
-"""A grant ends this long after the load report that carried it."""
 NO_SERVER_RETRY_AFTER_S = 2.0
 """Advice to callers while no server of a model is available."""
 
@@ -177,15 +166,6 @@
     server: BackendServer
     score: scoring.ServerScore
     state: State = State.ALIVE
-    failures: int = 0
-    failed_s: float = -math.inf
-    barred_until_s: float = -math.inf
-
-    def usable(self, now_s: float) -> bool:
-        """Whether the grant is fresh and a report has come since the last failure."""
-        reported_s = self.score.reported_s
-        fresh = now_s - reported_s <= GRANT_LIFETIME_S
-        return fresh and self.barred_until_s <= now_s and reported_s > self.failed_s
 
 
 class _Weighed(typing.NamedTuple):
@@ -270,7 +250,7 @@
     def room(self, server: ids.BackendServerId, now_s: float) -> int:
         """Further requests that may be sent to a server now, 0 when it may get no work."""
         entry = self._entry_by_id.get(server)
-        if entry is None or not self._eligible(entry) or not entry.usable(now_s):
+        if entry is None or not self._eligible(entry) or not entry.score.usable(now_s):
             return 0
         return max(0, entry.score.room)
 
@@ -318,7 +298,6 @@
         """Learn from the first token of an attempt, or from the whole answer of a service."""
         entry = self._entry_by_id.get(server)
         if entry is not None:
-            entry.failures = 0
             entry.score.first_token(attempt, now_s)
 
     def finished(
@@ -350,8 +329,7 @@
         """
         entry = self._entry_by_id.get(server)
         if entry is not None:
-            entry.score.finished(attempt, None, now_s)
-            entry.score.room = min(entry.score.room, 0)
+            entry.score.declined(attempt, now_s)
 
     def failed(
         self, server: ids.BackendServerId, attempt: tuple[ids.RequestKey, int], now_s: float
@@ -367,14 +345,8 @@
             now_s: Monotonic time.
         """
         entry = self._entry_by_id.get(server)
-        if entry is None:
-            return
-        entry.score.finished(attempt, None, now_s)
-        entry.failed_s = now_s
-        if now_s >= entry.barred_until_s:
-            shortest_s, longest_s = BARRED_S
-            entry.barred_until_s = now_s + min(longest_s, shortest_s * 2**entry.failures)
-            entry.failures = min(entry.failures + 1, 8)
+        if entry is not None:
+            entry.score.failed(attempt, now_s)
 
     def _candidates(
         self,
@@ -391,7 +363,7 @@
             entry = entry_by_id.get(server)
             if entry is None or entry.score.room <= 0 or server in tried:
                 continue
-            if entry.usable(now_s):
+            if entry.score.usable(now_s):
                 found[server] = entry.score
                 if len(found) >= CANDIDATES_LIMIT:
                     break
--- a/packages/core/src/gentianpaddle_core/scoring.py
+++ b/packages/core/src/gentianpaddle_core/scoring.py
@@ -19,6 +19,11 @@
 OTHERS_WEIGHT = 0.1
 """Weight of a new report in what others have there. All entries see the same report, and without
 smoothing all of them would send to the server that was emptiest half a second ago."""
+BARRED_S = (0.5, 8.0)
+"""Shortest and longest time without new work after a server failed; doubles with each failure. A
+failing server ends its requests fast and looks idle, so it would attract all retries."""
+GRANT_LIFETIME_S = 2.0
+"""A grant ends this long after the load report that carried it."""
 RATIO_LIMITS = (0.25, 8.0)
 """Bounds of a learned ratio, so that one wild observation cannot ban a server."""
 RATIO_WEIGHT = 0.2
@@ -141,7 +146,10 @@
     """Prediction for one backend server and what it is learned from."""
 
     __slots__ = (
+        "_barred_until_s",
         "_events",
+        "_failed_s",
+        "_failures",
         "_first_ratio",
         "_gap_ratio",
         "_lines",
@@ -172,6 +180,8 @@
         )
         self.load = Load(0, 0, 0, 0, 0.0)
         self.reported_s = -1.0
+        self._failures = 0
+        self._failed_s = self._barred_until_s = -math.inf
         self.room = 0
         """Further requests that the grant allows now."""
 
@@ -259,6 +269,7 @@
         if sent is None or not sent.waiting:
             return
         self._stop_waiting(sent, now_s)
+        self._failures = 0
         local_s = max(0.0, now_s - sent.sent_s - self._round_trip_s)
         line = self._lines.first_token
         self._first_ratio.observe(local_s, line.at(sent.tokens_ahead), now_s)
@@ -285,6 +296,25 @@
             self._service_s += 0.05 * (now_s - sent.sent_s - self._service_s)
             self._gap_ratio.observe(gap_s, self._lines.gap.at(sent.running), now_s)
 
+    def declined(self, attempt: tuple[ids.RequestKey, int], now_s: float) -> None:
+        """Count an attempt as over that the agent declined; its grant is used up for now."""
+        self.finished(attempt, None, now_s)
+        self.room = min(self.room, 0)
+
+    def failed(self, attempt: tuple[ids.RequestKey, int], now_s: float) -> None:
+        """Count an attempt as over because the server or the link to it failed."""
+        self.finished(attempt, None, now_s)
+        self._failed_s = now_s
+        if now_s >= self._barred_until_s:
+            shortest_s, longest_s = BARRED_S
+            self._barred_until_s = now_s + min(longest_s, shortest_s * 2**self._failures)
+            self._failures = min(self._failures + 1, 8)
+
+    def usable(self, now_s: float) -> bool:
+        """Whether the grant is fresh and a report has come since the last failure."""
+        fresh = now_s - self.reported_s <= GRANT_LIFETIME_S
+        return fresh and self._barred_until_s <= now_s and self.reported_s > self._failed_s
+
     def _stop_waiting(self, sent: _Sent, now_s: float) -> None:
         sent.waiting = False
         self._own_tokens = max(0.0, self._own_tokens - sent.own_tokens)
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -109,8 +109,8 @@
 
 def test_grant_ends_without_reports():
     router = router_of("b1")
-    assert chosen(router.choose(request(), routing.GRANT_LIFETIME_S)) == "b1"
-    assert chosen(router.choose(request(), routing.GRANT_LIFETIME_S + 0.1)) == "no_grant"
+    assert chosen(router.choose(request(), scoring.GRANT_LIFETIME_S)) == "b1"
+    assert chosen(router.choose(request(), scoring.GRANT_LIFETIME_S + 0.1)) == "no_grant"
 
 
 def test_own_requests_since_the_report_count():
