Tell late requests early that they will not be reached

Cause: requests that had missed their target in the queue stayed until their deadline under overload and were refused only then; those that were reached used capacity that would have met a target. Change: expire also returns late requests that the measured rate of late starts will not reach before their deadline; retry_after_s gives the advice. The lane of a class moves to _lane.py.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -133,7 +133,9 @@
         """Start what can start."""
         now_s = self._clock.now_s
         for ticket in self._queue.expire(now_s):
-            self._work_by_ticket.pop(ticket.number).call.refused = True
+            call = self._work_by_ticket.pop(ticket.number).call
+            call.refused = True
+            call.retry_after_s = self._queue.retry_after_s(ticket, now_s)
         while self._again:
             if not self._try(self._again[0]):
                 break
--- a/packages/core/src/gentianpaddle_core/_rates.py
+++ b/packages/core/src/gentianpaddle_core/_rates.py
@@ -13,8 +13,13 @@
 class ServiceRate:
     """Tokens started per second while requests wait."""
 
-    def __init__(self) -> None:
-        """Start without observations."""
+    def __init__(self, shortest_s: float) -> None:
+        """Start without observations.
+
+        Args:
+            shortest_s: Time with waiting requests before the rate counts as known.
+        """
+        self._shortest_s = shortest_s
         self._tokens = 0.0
         self._busy_s = 0.0
         self._began_s = 0.0
@@ -40,7 +45,7 @@
         """Tokens per second, the time since the last start included."""
         since_s = now_s if self._since_s is None else self._since_s
         busy_s = self._busy_s + max(0.0, now_s - since_s)
-        if busy_s < 0.1:
+        if busy_s < self._shortest_s:
             return FREE_RATE_TOKENS_S
         return max(1.0, self._tokens / busy_s)
 
--- a/packages/core/src/gentianpaddle_core/admission.py
+++ b/packages/core/src/gentianpaddle_core/admission.py
@@ -7,24 +7,24 @@
 from __future__ import annotations
 
 import bisect
-import collections
 import dataclasses
 import enum
 import typing
 
-from gentianpaddle_core import _rates, declarations, ids
+from gentianpaddle_core import _lane, _rates, declarations, ids
 
-QUANTUM_TOKENS = 4_096.0
-"""Expected tokens that an organisation may start per round of its class."""
 COST_LIMIT_TOKENS = 262_144.0
 """Largest expected tokens counted for one request, which bounds the rounds for one choice."""
 MINIMUM_SHARE = 0.05
 """Share of the started tokens that a class with waiting requests gets at least."""
-IN_TIME_SHARE = 0.7
-"""Share of the first-token target that may pass in the queue; the rest is for the server."""
 ADMITTED_SHARE = 0.45
 """Share of the first-token target that the predicted wait may take. The distance to
-`IN_TIME_SHARE` absorbs errors of the prediction; without it most requests end just too late."""
+`_lane.IN_TIME_SHARE` absorbs errors of the prediction; without it many requests end just too late.
+"""
+SHORTEST_BUSY_S = 0.1
+"""Time with waiting requests before a measured rate is used."""
+SHORTEST_LATE_S = 1.0
+"""The same for late requests, which start in the gaps that the others leave."""
 RETRY_AFTER_LIMITS_S = (0.5, 120.0)
 """Bounds of the advice to callers."""
 
@@ -42,32 +42,8 @@
     """A request of a higher class, or of an organisation with less waiting, took the place."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """A waiting request."""
-
-    number: int
-    """Number in order of arrival."""
-    model: ids.ModelName
-    """Model or plain service."""
-    organisation: ids.OrganisationId
-    """Who sent it."""
-    class_of_work: declarations.ClassOfWork
-    """Its class."""
-    arrived_s: float
-    """Time of arrival."""
-    cost_tokens: float
-    """Expected tokens, prompt and answer."""
-
-    @property
-    def in_time_until_s(self) -> float:
-        """Latest start that can still meet the first-token target."""
-        return self.arrived_s + IN_TIME_SHARE * self.class_of_work.first_token_s
-
-    @property
-    def deadline_s(self) -> float:
-        """Time after which an answer is worthless."""
-        return self.arrived_s + self.class_of_work.deadline_s
+Ticket: typing.TypeAlias = _lane.Ticket
+"""A waiting request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,133 +100,23 @@
     return round(rank(class_of_work) * 1_000)
 
 
-class _Lane:
-    """Waiting requests of one class at one model."""
-
-    def __init__(self, class_of_work: declarations.ClassOfWork) -> None:
-        self.class_of_work = class_of_work
-        self.credit = 0.0
-        self.tokens = 0.0
-        """Tokens of requests that can still meet their target."""
-        self.offered = _rates.OfferedRate()
-        self.tokens_by_organisation: dict[ids.OrganisationId, float] = {}
-        self._offered_by_organisation: dict[ids.OrganisationId, _rates.OfferedRate] = {}
-        self._deficit_by_organisation: dict[ids.OrganisationId, float] = {}
-        self._queue_by_organisation: collections.OrderedDict[
-            ids.OrganisationId, list[tuple[float, int, Ticket]]
-        ] = collections.OrderedDict()
-        self._late: list[tuple[float, int, Ticket]] = []
-
-    def __bool__(self) -> bool:
-        return bool(self._queue_by_organisation or self._late)
-
-    def add(self, ticket: Ticket) -> None:
-        key = (ticket.in_time_until_s, ticket.number, ticket)
-        bisect.insort(self._queue_by_organisation.setdefault(ticket.organisation, []), key)
-        self._count(ticket, ticket.cost_tokens)
-
-    def remove(self, ticket: Ticket) -> None:
-        key = (ticket.in_time_until_s, ticket.number, ticket)
-        queue = self._queue_by_organisation.get(ticket.organisation, [])
-        position = bisect.bisect_left(queue, key)
-        if position < len(queue) and queue[position] == key:
-            del queue[position]
-            if not queue:
-                self._drop(ticket.organisation)
-            self._count(ticket, -ticket.cost_tokens)
-        else:
-            del self._late[bisect.bisect_left(self._late, key)]
-
-    def take(self, ticket: Ticket) -> None:
-        self.remove(ticket)
-        if ticket.organisation in self._deficit_by_organisation:
-            self._deficit_by_organisation[ticket.organisation] -= ticket.cost_tokens
-        self.credit = max(0.0, self.credit - ticket.cost_tokens)
-
-    def in_time(self, now_s: float) -> Ticket | None:
-        """Next request that can still meet its target, by deficit round robin."""
-        queues = self._queue_by_organisation
-        while queues:
-            organisation, queue = next(iter(queues.items()))
-            while queue and queue[0][0] < now_s:
-                late = queue.pop(0)
-                bisect.insort(self._late, late)
-                self._count(late[2], -late[2].cost_tokens)
-            if not queue:
-                self._drop(organisation)
-                continue
-            cost = queue[0][2].cost_tokens
-            if self._deficit_by_organisation.get(organisation, 0.0) >= cost:
-                return queue[0][2]
-            queues.move_to_end(organisation)
-            deficit = self._deficit_by_organisation.get(organisation, 0.0)
-            self._deficit_by_organisation[organisation] = deficit + QUANTUM_TOKENS
-        return None
-
-    def late(self) -> Ticket | None:
-        return self._late[0][2] if self._late else None
-
-    def last_of_largest(self) -> Ticket | None:
-        """Request to give up first: the last one of the organisation with most waiting."""
-        if self._late:
-            return self._late[-1][2]
-        if not self._queue_by_organisation:
-            return None
-        largest = max(self._queue_by_organisation, key=self.tokens_by_organisation.__getitem__)
-        return self._queue_by_organisation[largest][-1][2]
-
-    def offer(self, ticket: Ticket, now_s: float) -> None:
-        """Add a new request and count it as demand."""
-        self.add(ticket)
-        self.offered.add(ticket.cost_tokens, now_s)
-        own = self._offered_by_organisation.setdefault(ticket.organisation, _rates.OfferedRate())
-        own.add(ticket.cost_tokens, now_s)
-
-    def predicted_wait_s(
-        self, organisation: ids.OrganisationId, cost: float, rate: float, now_s: float
-    ) -> float:
-        """Wait of a new request of an organisation when the class starts `rate` tokens a second.
-
-        Requests of others that arrive later still go first while this organisation has more
-        waiting than they have, so its own part of the rate counts.
-        """
-        own = self.tokens_by_organisation.get(organisation, 0.0)
-        others = len(self.tokens_by_organisation) - (organisation in self.tokens_by_organisation)
-        round_s = min(self.tokens, others * max(cost, QUANTUM_TOKENS)) / rate
-        own_offered = self._offered_by_organisation.get(organisation)
-        arriving = self.offered.rate(now_s) - (own_offered.rate(now_s) if own_offered else 0.0)
-        return max(round_s, own / max(rate / (others + 1), rate - arriving))
-
-    def _drop(self, organisation: ids.OrganisationId) -> None:
-        del self._queue_by_organisation[organisation]
-        self._deficit_by_organisation.pop(organisation, None)
-
-    def _count(self, ticket: Ticket, tokens: float) -> None:
-        by_organisation = self.tokens_by_organisation
-        by_organisation[ticket.organisation] = (
-            by_organisation.get(ticket.organisation, 0.0) + tokens
-        )
-        if by_organisation[ticket.organisation] <= 0.5:
-            del by_organisation[ticket.organisation]
-            self._offered_by_organisation.pop(ticket.organisation, None)
-        # Setting 0 here keeps rounding errors from adding up.
-        self.tokens = self.tokens + tokens if by_organisation else 0.0
-
-
 class _ModelQueue:
     """Waiting requests of one model."""
 
     def __init__(self) -> None:
-        self.rate = _rates.ServiceRate()
-        self.lane_by_class: dict[ids.ClassName, _Lane] = {}
+        self.rate = _rates.ServiceRate(SHORTEST_BUSY_S)
+        self._late_rate = _rates.ServiceRate(SHORTEST_LATE_S)
+        self.lane_by_class: dict[ids.ClassName, _lane.Lane] = {}
 
-    def lane(self, class_of_work: declarations.ClassOfWork) -> _Lane:
+    def lane(self, class_of_work: declarations.ClassOfWork) -> _lane.Lane:
         lane = self.lane_by_class.get(class_of_work.name)
         if lane is None:
-            lane = self.lane_by_class[class_of_work.name] = _Lane(class_of_work)
+            lane = self.lane_by_class[class_of_work.name] = _lane.Lane(class_of_work)
+        # The targets of a class change with the configuration.
+        lane.class_of_work = class_of_work
         return lane
 
-    def lanes(self) -> list[_Lane]:
+    def lanes(self) -> list[_lane.Lane]:
         """Lanes with waiting requests, highest class first."""
         waiting = [lane for lane in self.lane_by_class.values() if lane]
         return sorted(waiting, key=lambda lane: (rank(lane.class_of_work), lane.class_of_work.name))
@@ -276,6 +142,8 @@
     def next(self, passed_over: frozenset[ids.ClassName], now_s: float) -> Ticket | None:
         lanes = [lane for lane in self.lanes() if lane.class_of_work.name not in passed_over]
         heads = [(lane, lane.in_time(now_s)) for lane in lanes]
+        if any(lane.late_tokens for lane in lanes):
+            self._late_rate.begin(now_s)
         for lane, ticket in heads:
             owed = ticket or lane.late()
             if len(lanes) > 1 and owed is not None and lane.credit >= owed.cost_tokens:
@@ -285,7 +153,19 @@
                 return ticket
         return next((late for lane in lanes if (late := lane.late()) is not None), None)
 
+    def hopeless(self, now_s: float) -> Ticket | None:
+        """A late request that the gaps left by the others will not reach in time."""
+        ahead, rate = 0.0, self._late_rate.at(now_s)
+        for lane in self.lanes():
+            ahead += lane.late_tokens
+            last = lane.last_late()
+            if last is not None and now_s + ahead / rate > last.deadline_s:
+                return last
+        return None
+
     def take(self, ticket: Ticket, now_s: float) -> None:
+        if ticket.in_time_until_s < now_s:
+            self._late_rate.started(ticket.cost_tokens, now_s)
         self.rate.started(ticket.cost_tokens, now_s)
         for lane in self.lanes():
             if lane.class_of_work.name != ticket.class_of_work.name:
@@ -301,6 +181,9 @@
                 lane.credit = 0.0
         if not self.lanes():
             self.rate.end(now_s)
+        if not any(lane.late_tokens for lane in self.lane_by_class.values()):
+            # A new overload starts without the memory of the last one, in which none were reached.
+            self._late_rate = _rates.ServiceRate(SHORTEST_LATE_S)
 
 
 class AdmissionQueue:
@@ -402,14 +285,29 @@
         return True
 
     def expire(self, now_s: float) -> tuple[Ticket, ...]:
-        """Remove and return the requests whose deadline has passed."""
+        """Remove and return the requests that cannot start before their deadline.
+
+        These are requests whose deadline has passed, and late ones that will not be reached before
+        theirs: they are told so now and not when it passes. Call `retry_after_s` for the advice.
+        """
         expired = []
+        for queue in self._queue_by_model.values():
+            while (hopeless := queue.hopeless(now_s)) is not None:
+                self.cancel(hopeless, now_s)
+                expired.append(hopeless)
         while self._deadlines and self._deadlines[0][0] <= now_s:
             ticket = self._ticket_by_number[self._deadlines[0][1]]
             self.cancel(ticket, now_s)
             expired.append(ticket)
         return tuple(expired)
 
+    def retry_after_s(self, ticket: Ticket, now_s: float) -> float:
+        """Predicted time until a request like this one would be accepted."""
+        queue = self._queue_by_model[ticket.model]
+        work = ticket.class_of_work
+        wait_s = queue.predicted_wait_s(work, ticket.organisation, ticket.cost_tokens, now_s)
+        return _retry_after_s(wait_s - ADMITTED_SHARE * work.first_token_s)
+
     def _loser(self, queue: _ModelQueue, ticket: Ticket) -> Ticket | None:
         """Waiting request that gives way when the queue is full, None when none does."""
         lanes = queue.lanes()
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -99,6 +99,21 @@
     assert refused.reason is admission.Reason.QUEUE_FULL
 
 
+@pytest.mark.parametrize(
+    ("starts", "now_s", "dropped"), [(0, 2.2, 0), (0, 2.5, 3), (1, 2.5, 0), (1, 20.1, 2)]
+)
+def test_late_requests_are_told_when_they_will_not_be_reached(
+    starts: int, now_s: float, dropped: int
+):
+    queue = admission.new_admission_queue()
+    for _ in range(3):
+        offer(queue, "a", cost=5_000.0)
+    # At 1.3 s the part of the target that may pass in the queue, 0.7 x 1.8 s, has passed.
+    assert queue.next_ready(MODEL, 1.3) is not None
+    drain(queue, starts, 2.0)
+    assert len(queue.expire(now_s)) == dropped
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
