Count the next request in the measured rate of the queue

Cause: a queue that had begun to wait 0.1 s ago, without a start yet, was taken for one that stands still for ever, so an entry that had just thawed refused requests that would have started in time. Ruled out: the frozen time itself, which adds nothing to the rate. Change: the rate counts the next request as if it started now; the fixture's caller waits as told by Retry-After, which is allowed on a cold fleet. Conclusion: early refusals need evidence of a slow queue.

--- a/packages/core/src/gentianpaddle_core/_rates.py
+++ b/packages/core/src/gentianpaddle_core/_rates.py
@@ -41,13 +41,19 @@
         if now_s > self._began_s:
             self._add(tokens, now_s)
 
-    def at(self, now_s: float) -> float:
-        """Tokens per second, the time since the last start included."""
+    def at(self, now_s: float, next_tokens: float = 0.0) -> float:
+        """Tokens per second, the time since the last start included.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            next_tokens: Tokens of the next request, counted as if it started now. Without them a
+                queue that began to wait a moment ago would look as if it stood still for ever.
+        """
         since_s = now_s if self._since_s is None else self._since_s
         busy_s = self._busy_s + max(0.0, now_s - since_s)
         if busy_s < self._shortest_s:
             return FREE_RATE_TOKENS_S
-        return max(1.0, self._tokens / busy_s)
+        return max(1.0, (self._tokens + next_tokens) / busy_s)
 
     def _add(self, tokens: float, now_s: float) -> None:
         if self._since_s is None:
--- a/packages/core/src/gentianpaddle_core/admission.py
+++ b/packages/core/src/gentianpaddle_core/admission.py
@@ -133,7 +133,7 @@
             return 0.0
         own = self.lane(class_of_work)
         higher = [lane for lane in lanes if rank(lane.class_of_work) < rank(class_of_work)]
-        rate = self.rate.at(now_s)
+        rate = self.rate.at(now_s, cost)
         arriving = sum(lane.offered.rate(now_s) for lane in higher)
         left = max(MINIMUM_SHARE * rate, rate - arriving)
         before_s = sum(lane.tokens for lane in higher) / left
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -143,3 +143,11 @@
             waiting.remove(ticket.number)
         assert len(queue) == len(waiting) <= 5
     assert {t.number for t in drain(queue, 9, now_s)} == waiting
+
+
+@pytest.mark.parametrize(("waited_s", "admitted"), [(0.15, True), (0.4, True), (5.0, False)])
+def test_queue_that_waits_for_its_first_start(waited_s: float, admitted: bool):
+    """Guards against refusals right after the first request began to wait."""
+    queue = admission.new_admission_queue()
+    offer(queue, "a", now_s=0.0)
+    assert isinstance(offer(queue, "a", now_s=waited_s), admission.Queued) is admitted
--- a/packages/daemon/src/gentianpaddle_daemon/entry/figures.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/figures.py
@@ -123,6 +123,7 @@
             outcome=kind.value,
             code=outcome.code,
             attempts=attempts,
+            retry_after_s=outcome.retry_after_s,
             first_token_s=first_s,
             gap_s=gap_s,
             in_target=in_target,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,6 +27,7 @@
 )
 
 READY_LIMIT_S = 60.0
+RETRIES_LIMIT = 20
 TOKEN = "caller-token"
 OPERATOR = {"Authorization": "Bearer operator-token"}
 CALLER = {"Authorization": f"Bearer {TOKEN}", "Gentianpaddle-Class": "quote"}
@@ -175,6 +176,14 @@
         }
         path = f"{url}/v1/chat/completions"
         response = self.pool.request("POST", path, body=json.dumps(body).encode(), headers=CALLER)
+        for _ in range(RETRIES_LIMIT):
+            if response.status != 429:
+                break
+            # A cold fleet may refuse early; a caller waits as told and sends again.
+            time.sleep(float(response.headers["Retry-After"]))
+            response = self.pool.request(
+                "POST", path, body=json.dumps(body).encode(), headers=CALLER
+            )
         if response.status != 200:
             return Reply(response.status, "", False, dict(response.json()))
         if not stream:
