--- a/packages/core/src/gentianpaddle_core/configuration.py
+++ b/packages/core/src/gentianpaddle_core/configuration.py
@@ -14,7 +14,7 @@
 import typing
 from collections.abc import Mapping
 
-from gentianpaddle_core import declarations, ids, mistakes, object_api
+from gentianpaddle_core import declarations, ids, mistakes, object_api, store_steps
 
 CONFIGURATION_KEY = "config/current"
 """Key of the configuration in the object API."""
@@ -167,32 +167,12 @@
     """What went wrong."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteStep:
-    """Write to do next."""
-
-    key: str
-    """Full key."""
-    value: bytes
-    """Content."""
-    expected_version: int
-    """Version that the object must have."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadStep:
-    """Read to do next."""
-
-    key: str
-    """Full key."""
-
-
 ChangeResult: typing.TypeAlias = (
     ChangeAccepted | ChangeConflict | ChangeInvalid | ChangeNotAccepted | ChangeUnknown
 )
 """End of a change; `ChangeUnknown` may be followed by further reads."""
 
-ChangeStep: typing.TypeAlias = WriteStep | ReadStep | ChangeResult
+ChangeStep: typing.TypeAlias = store_steps.Put | store_steps.Get | ChangeResult
 """What to do next, or the result."""
 
 
@@ -207,7 +187,7 @@
         self._text = f"{HISTORY_PREFIX} {' '.join(kept)}\n{without_history(text)}"
         self._may_have_effect = False
 
-    def first_step(self) -> WriteStep | ChangeInvalid:
+    def first_step(self) -> store_steps.Put | ChangeInvalid:
         """Check the document and return the write.
 
         Returns:
@@ -231,10 +211,10 @@
             case object_api.Written(version):
                 return ChangeAccepted(Document(ids.Revision(version), self._text))
             case object_api.VersionConflict():
-                return ReadStep(CONFIGURATION_KEY)
+                return store_steps.Get(CONFIGURATION_KEY)
             case object_api.AnswerLost():
                 self._may_have_effect = True
-                return ReadStep(CONFIGURATION_KEY)
+                return store_steps.Get(CONFIGURATION_KEY)
         if self._may_have_effect:
             return ChangeUnknown(result.message)
         return ChangeNotAccepted(result.message)
@@ -274,8 +254,8 @@
             return self._base_history[-1] in present_history
         return len(present_history) < HISTORY_LIMIT
 
-    def _write(self) -> WriteStep:
-        return WriteStep(CONFIGURATION_KEY, self._text.encode(), self._base.revision)
+    def _write(self) -> store_steps.Put:
+        return store_steps.Put(CONFIGURATION_KEY, self._text.encode(), self._base.revision)
 
 
 def new_change(base: Document, text: str, change_id: str) -> Change:
--- a/packages/core/tests/test_configuration.py
+++ b/packages/core/tests/test_configuration.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from gentianpaddle_core import configuration, ids, object_api
+from gentianpaddle_core import configuration, ids, object_api, store_steps
 from gentianpaddle_standins import faults, object_store
 from hypothesis import given, strategies
 
@@ -17,9 +17,9 @@
 ) -> configuration.ChangeResult:
     step: configuration.ChangeStep = change.first_step()
     for _ in range(rounds):
-        if isinstance(step, configuration.WriteStep):
+        if isinstance(step, store_steps.Put):
             step = change.after_write(api.put(step.key, step.value, step.expected_version))
-        elif isinstance(step, configuration.ReadStep):
+        elif isinstance(step, store_steps.Get):
             step = change.after_read(api.get(step.key))
         else:
             return step
@@ -135,12 +135,12 @@
     assert isinstance(first, configuration.ChangeAccepted)
     change = configuration.new_change(first.document, TEXT.format("x"), "x")
     write = change.first_step()
-    assert isinstance(write, configuration.WriteStep)
+    assert isinstance(write, store_steps.Put)
     last = first.document
     if took_effect:
         store.put(write.key, write.value, write.expected_version)
         last = configuration.Document(ids.Revision(2), write.value.decode())
-    assert isinstance(change.after_write(object_api.AnswerLost("")), configuration.ReadStep)
+    assert isinstance(change.after_write(object_api.AnswerLost("")), store_steps.Get)
     down = change.after_read(object_api.StoreUnavailable(""))
     assert isinstance(down, configuration.ChangeUnknown)
     for number in range(later_changes):
