Keep claims in the claim log

Cause: one object for each key needs two writes for each call, above the rates of the object API at the design size. Change: entries claim through the sharded log; a claim carries the fingerprint of its request; controllers run as supervised tasks.

--- a/packages/core/src/gentianpaddle_core/claim_records.py
+++ b/packages/core/src/gentianpaddle_core/claim_records.py
@@ -13,6 +13,7 @@
 
 from gentianpaddle_core import ids, outcomes
 
+NO_FINGERPRINT = ids.Fingerprint("")
 BODY_LIMIT_BYTES = 16_384
 """Largest answer kept in a settlement; of a larger one only the status is kept."""
 
@@ -38,6 +39,8 @@
     """VM of the only agent that may run the attempt."""
     agent_incarnation: ids.Incarnation
     """Incarnation of that agent."""
+    fingerprint: ids.Fingerprint = NO_FINGERPRINT
+    """Digest of the request, so that the key cannot be used for another one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,19 +173,26 @@
 
 
 def _claim_fields(claim: Claim) -> _Json:
-    return [claim.key, claim.attempt, claim.entry, claim.agent, claim.agent_incarnation]
+    return [
+        claim.key,
+        claim.attempt,
+        claim.entry,
+        claim.agent,
+        claim.agent_incarnation,
+        claim.fingerprint,
+    ]
 
 
 def _record(fields: _Json) -> Record:
-    claim = Claim(*fields[1:6])
+    claim = Claim(*fields[1:7])
     if fields[0] == "c":
         return claim
-    kind, http_status, code, message = fields[6:10]
+    kind, http_status, code, message = fields[7:11]
     outcome: outcomes.Outcome
     if kind == _DONE:
-        body = fields[10].encode("latin-1")
+        body = fields[11].encode("latin-1")
         outcome = outcomes.Done(body, message, http_status, code)
-        return Settlement(claim, outcome, fields[11])
+        return Settlement(claim, outcome, fields[12])
     if kind == _NOT_RUN:
         outcome = outcomes.NotRun(code, message, None, http_status)
     elif kind == _UNKNOWN:
--- a/packages/core/src/gentianpaddle_core/claims.py
+++ b/packages/core/src/gentianpaddle_core/claims.py
@@ -40,6 +40,8 @@
     """VM of the only agent that is to run it."""
     agent_incarnation: ids.Incarnation
     """Incarnation of that agent."""
+    fingerprint: ids.Fingerprint = claim_records.NO_FINGERPRINT
+    """Digest of the request."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -321,7 +323,12 @@
                 return None
             attempt = ids.Attempt(state.attempt + 1)
         return claim_records.Claim(
-            request.key, attempt, self._writer, request.agent, request.agent_incarnation
+            request.key,
+            attempt,
+            self._writer,
+            request.agent,
+            request.agent_incarnation,
+            request.fingerprint,
         )
 
     def _answer_from(self, waiter: _Waiter, state: _claim_table.KeyState) -> None:
--- a/packages/daemon/src/gentianpaddle_daemon/agent/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/process.py
@@ -87,7 +87,7 @@
         self._grpc = grpc_server.Server([self._service, self._exchange])
         await self._grpc.start(address.host, address.port)
         for loop_body in (self._exchange.run, self._report_loads, self._check_health):
-            asyncio.get_running_loop().create_task(loop_body())
+            self._loop.spawn(loop_body())
         logs.event(_logger, "started", role="agent", incarnation=self.board.incarnation)
 
     async def _drain(self, limit_s: float) -> None:
--- /dev/null
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/claim_log.py
@@ -0,0 +1,178 @@
+"""The claim log of this entry: runs the shards against the object API."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from concurrent import futures
+
+from gentianpaddle_core import (
+    claim_limits,
+    claim_records,
+    claim_shards,
+    claim_verdicts,
+    claims,
+    ids,
+    object_api,
+    outcomes,
+    store_steps,
+)
+
+from gentianpaddle_daemon.entry import claiming
+
+SHARDS = 2
+"""With 8 entries and a batch each 50 ms, the shards make at most 320 writes a second."""
+BATCH_S = 0.05
+LONGEST_IDLE_S = 1.0
+ANSWER_TIMEOUT_S = 5.0
+
+
+class _ShardWorker:
+    def __init__(
+        self, shard: claims.ClaimShard, store: object_api.ObjectApi, threads: futures.Executor
+    ) -> None:
+        self.shard = shard
+        self.wake = asyncio.Event()
+        self._store = store
+        self._threads = threads
+        self._future_by_ticket: dict[int, asyncio.Future[claim_verdicts.Verdict]] = {}
+
+    async def verdict(
+        self, asked: claim_verdicts.Waiting | claim_verdicts.Verdict
+    ) -> claim_verdicts.Verdict:
+        if not isinstance(asked, claim_verdicts.Waiting):
+            return asked
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_ticket[asked.ticket] = future
+        self.wake.set()
+        try:
+            return await asyncio.wait_for(future, ANSWER_TIMEOUT_S)
+        except TimeoutError:
+            return claim_verdicts.Unresolved("the claim log gave no answer in time")
+        finally:
+            self._future_by_ticket.pop(asked.ticket, None)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            call = self.shard.next_call(time.monotonic(), time.time())
+            self._publish()
+            if isinstance(call, store_steps.Idle):
+                await self._idle(call.until_s)
+                continue
+            result = await loop.run_in_executor(
+                self._threads, store_steps.perform, call, self._store
+            )
+            self.shard.consume(result, time.monotonic(), time.time())
+            self._publish()
+
+    async def _idle(self, until_s: float) -> None:
+        wait_s = min(LONGEST_IDLE_S, max(0.0, until_s - time.monotonic()))
+        try:
+            await asyncio.wait_for(self.wake.wait(), wait_s)
+        except TimeoutError:
+            return
+        self.wake.clear()
+
+    def _publish(self) -> None:
+        for answer in self.shard.take_answers():
+            future = self._future_by_ticket.get(answer.ticket)
+            if future is not None and not future.done():
+                future.set_result(answer.verdict)
+
+
+class ClaimLog:
+    """All shards; implements `claiming.Claims`."""
+
+    def __init__(
+        self,
+        writer: ids.VmId,
+        incarnation: ids.Incarnation,
+        store: object_api.ObjectApi,
+        threads: futures.Executor,
+    ) -> None:
+        limits = claim_limits.ClaimLimits(batch_s=BATCH_S)
+        self._worker_by_shard = {
+            name: _ShardWorker(
+                claims.new_claim_shard(name, writer, incarnation, limits), store, threads
+            )
+            for name in map(_shard_name, range(SHARDS))
+        }
+
+    async def run(self) -> None:
+        """Run all shards until cancelled."""
+        await asyncio.gather(*(worker.run() for worker in self._worker_by_shard.values()))
+
+    async def claim(self, wanted: claims.ClaimRequest) -> claiming.ClaimResult:
+        """Claim a key; see `claiming.Claims`."""
+        worker = self._worker(wanted.key)
+        verdict = await worker.verdict(worker.shard.claim(wanted, time.monotonic()))
+        found = _look_up_result(verdict)
+        if isinstance(verdict, claim_verdicts.Won):
+            return claiming.Won(verdict.claim)
+        if isinstance(found, claiming.Free):
+            return claiming.NotClaimed("claim_lost")
+        return found
+
+    async def look_up(self, key: ids.RequestKey) -> claiming.LookUpResult:
+        """Return what is known about a key; see `claiming.Claims`."""
+        worker = self._worker(key)
+        return _look_up_result(await worker.verdict(worker.shard.ask(key, time.monotonic())))
+
+    def settle(self, claim: claim_records.Claim, outcome: outcomes.Outcome) -> bool:
+        """Record what became of a claim; see `claiming.Claims`."""
+        worker = self._worker(claim.key)
+        taken = worker.shard.settle(claim, outcome, time.monotonic())
+        worker.wake.set()
+        return taken
+
+    def _worker(self, key: ids.RequestKey) -> _ShardWorker:
+        return self._worker_by_shard[claim_shards.shard_of(key, SHARDS)]
+
+
+def _shard_name(number: int) -> str:
+    return f"{number:04d}"
+
+
+def _look_up_result(verdict: claim_verdicts.Verdict) -> claiming.LookUpResult:
+    match verdict:
+        case claim_verdicts.AlreadyClaimed(claim):
+            return claiming.Held(claim)
+        case claim_verdicts.KnownOutcome(claim, outcome, body_omitted):
+            return _finished(claim, outcome, body_omitted)
+        case claim_verdicts.RefusedNotRun(reason):
+            return claiming.NotClaimed(reason.value)
+        case claim_verdicts.Unresolved():
+            return claiming.NotClaimed("claim_unresolved")
+    return claiming.Free()
+
+
+def _finished(
+    claim: claim_records.Claim, outcome: outcomes.Outcome, body_omitted: bool
+) -> claiming.LookUpResult:
+    if isinstance(outcome, outcomes.NotRun | outcomes.Refused):
+        return claiming.Free()
+    if body_omitted:
+        message = "the call ran once; its answer was too large to keep"
+        return claiming.Finished(claim, outcomes.Unknown("answer_not_kept", message))
+    return claiming.Finished(claim, outcome)
+
+
+def new_claim_log(
+    writer: ids.VmId,
+    incarnation: ids.Incarnation,
+    store: object_api.ObjectApi,
+    threads: futures.Executor,
+) -> ClaimLog:
+    """Create the claim log of this entry.
+
+    Args:
+        writer: This VM.
+        incarnation: This process start.
+        store: Object API.
+        threads: Threads for its calls.
+
+    Returns:
+        The log; `run` replays it and serves claims.
+    """
+    return ClaimLog(writer, incarnation, store, threads)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
@@ -5,11 +5,12 @@
 import asyncio
 import logging
 import time
+import typing
 import uuid
 from collections.abc import Callable
 from concurrent import futures
 
-from gentianpaddle_core import blackboard, configuration, ids, object_api
+from gentianpaddle_core import blackboard, configuration, ids, object_api, store_steps
 
 from gentianpaddle_daemon import logs
 
@@ -71,17 +72,14 @@
         step: configuration.ChangeStep = change.first_step()
         loop = asyncio.get_running_loop()
         began_s = time.monotonic()
-        while True:
-            if isinstance(step, configuration.WriteStep):
-                written = await loop.run_in_executor(
-                    self._threads, self._store.put, step.key, step.value, step.expected_version
-                )
-                step = change.after_write(written)
-            elif isinstance(step, configuration.ReadStep):
-                found = await loop.run_in_executor(self._threads, self._store.get, step.key)
-                step = change.after_read(found)
+        while isinstance(step, store_steps.Put | store_steps.Get):
+            result = await loop.run_in_executor(
+                self._threads, store_steps.perform, step, self._store
+            )
+            if isinstance(step, store_steps.Put):
+                step = change.after_write(typing.cast(object_api.PutResult, result))
             else:
-                break
+                step = change.after_read(typing.cast(object_api.GetResult, result))
         if isinstance(step, configuration.ChangeAccepted):
             self._offer(step.document, began_s)
         return step
--- a/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
@@ -12,6 +12,8 @@
     admission,
     answer_stream,
     blackboard,
+    claim_records,
+    claims,
     ids,
     outcomes,
     prefix_index,
@@ -25,6 +27,7 @@
     attempt,
     claiming,
     figures,
+    link,
     request,
     settlement,
     sink,
@@ -69,17 +72,17 @@
         self,
         board: blackboard.EntryBlackboard,
         linked: agents.Agents,
-        claims: claiming.Claims,
+        claim_log: claiming.Claims,
         recorder: figures.Recorder,
         loop: loop_thread.LoopThread,
     ) -> None:
         self._board = board
         self._agents = linked
-        self._claims = claims
+        self._claims = claim_log
         self._recorder = recorder
         self._loop = loop
         self._pending_by_ticket: dict[int, Pending] = {}
-        self._settlement = settlement.Settlement(linked, claims)
+        self._settlement = settlement.Settlement(linked, claim_log)
         self._pump_handle: asyncio.TimerHandle | None = None
 
     def submit(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
@@ -157,13 +160,13 @@
         if isinstance(found, claiming.Finished):
             return _first_outcome(checked, found)
         if isinstance(found, claiming.NotClaimed):
-            return outcomes.NotRun("store_unavailable", found.message, 1.0)
+            return _not_claimed(found)
         if isinstance(found, claiming.Held):
             return await self._settle(checked, found.claim)
         return None
 
     async def _settle(
-        self, checked: request.CallerRequest, claim: claiming.ClaimRequest
+        self, checked: request.CallerRequest, claim: claim_records.Claim
     ) -> outcomes.Outcome | None:
         if claim.fingerprint != checked.fingerprint:
             return _key_reused()
@@ -275,74 +278,80 @@
             through = self._agents.link_to(agent)
             if through is None:
                 return attempt.ProvenNotRun("link_closed", declined=False)
-            claim = self._claim_request(pending, agent)
+            incarnation = self._agents.incarnation_of(agent)
             if not pending.checked.idempotent:
-                refusal = await self._claim(pending, claim)
-                if refusal is not None:
-                    return refusal
-            plan = self._plan(pending, claim)
-            running = attempt.Attempt(
-                plan, through, pending.stream, lambda d, n: self._deliver(pending, routed, d, n)
-            )
-            ended = await running.run(self._patience_s(pending, routed))
-            if pending.checked.idempotent:
-                return ended
-            return await self._finish_claim(pending, claim, ended)
+                return await self._run_claimed(pending, routed, through, incarnation)
+            running = self._attempt(pending, routed, through, incarnation)
+            return await running.run(self._patience_s(pending, routed))
         finally:
             gap_s = pending.timing.gap_s()
             self._board.router.finished(routed.backend_server, sent, gap_s, time.monotonic())
             self._loop.loop.call_soon(self.capacity_changed)
 
-    def _claim_request(self, pending: Pending, agent: ids.VmId) -> claiming.ClaimRequest:
-        checked = pending.checked
-        incarnation = self._agents.incarnation_of(agent)
-        return claiming.ClaimRequest(
-            checked.key, checked.fingerprint, pending.number, agent, incarnation
-        )
-
-    async def _claim(
-        self, pending: Pending, claim: claiming.ClaimRequest
-    ) -> outcomes.Outcome | None:
-        result = await self._claims.claim(claim)
-        if isinstance(result, claiming.Won):
-            return None
-        if isinstance(result, claiming.Finished):
-            return _first_outcome(pending.checked, result)
-        if isinstance(result, claiming.Held):
-            settled = await self._settle(pending.checked, result.claim)
-            message = "another call with this key was in progress and did not run"
-            return settled or outcomes.NotRun("key_in_progress", message, 1.0)
-        # An unsettled claim is not sent, so the call does not run whatever the log holds.
-        return outcomes.NotRun("store_unavailable", result.message, 1.0)
-
-    async def _finish_claim(
-        self, pending: Pending, claim: claiming.ClaimRequest, ended: attempt.Ended
+    async def _run_claimed(
+        self,
+        pending: Pending,
+        routed: routing.Routed,
+        through: link.AgentLink,
+        incarnation: ids.Incarnation,
     ) -> attempt.Ended | outcomes.Outcome:
+        claim = await self._claim(pending, through.agent, incarnation)
+        if not isinstance(claim, claim_records.Claim):
+            return claim
+        pending.number = claim.attempt
+        pending.stream = answer_stream.new_answer_stream(claim.key, claim.attempt, resumable=False)
+        running = self._attempt(pending, routed, through, incarnation)
+        ended = await running.run(float("inf"))
         if isinstance(ended, attempt.Completed):
             done = outcomes.Done(bytes(pending.body), ended.content_type, ended.http_status)
-            if not await self._claims.finish(claim, done):
-                self._settlement.finish_later(claim, done)
+            self._claims.settle(claim, done)
             return done
         if isinstance(ended, attempt.ProvenNotRun):
-            if not await self._claims.release(claim):
-                self._settlement.release_later(claim)
-                return outcomes.NotRun("store_unavailable", "the call did not run", 1.0)
+            self._claims.settle(claim, outcomes.NotRun(ended.reason, "the call did not run"))
             return ended
         settled = await self._settlement.settle(claim, pending.checked.deadline_s)
         if isinstance(settled, outcomes.Unknown):
             self._settlement.settle_later(claim)
         return settled
 
-    def _plan(self, pending: Pending, claim: claiming.ClaimRequest) -> attempt.Plan:
+    async def _claim(
+        self, pending: Pending, agent: ids.VmId, incarnation: ids.Incarnation
+    ) -> claim_records.Claim | outcomes.Outcome:
+        checked = pending.checked
+        wanted = claims.ClaimRequest(checked.key, agent, incarnation, checked.fingerprint)
+        while time.monotonic() < checked.deadline_s:
+            result = await self._claims.claim(wanted)
+            if isinstance(result, claiming.Won):
+                return result.claim
+            if isinstance(result, claiming.Finished):
+                return _first_outcome(checked, result)
+            if isinstance(result, claiming.NotClaimed):
+                return _not_claimed(result)
+            settled = await self._settle(checked, result.claim)
+            if settled is not None:
+                return settled
+            await asyncio.sleep(RETRY_LOOK_S)
+        return _late(pending)
+
+    def _attempt(
+        self,
+        pending: Pending,
+        routed: routing.Routed,
+        through: link.AgentLink,
+        incarnation: ids.Incarnation,
+    ) -> attempt.Attempt:
         resumed = pending.stream.delivered_bytes > 0
-        return attempt.Plan(
+        plan = attempt.Plan(
             checked=pending.checked,
             number=pending.number,
-            incarnation=claim.incarnation,
+            incarnation=incarnation,
             delivered_text=pending.timing.text() if resumed else "",
             priority=admission.priority(pending.checked.work_class),
             isolated=False,
         )
+        return attempt.Attempt(
+            plan, through, pending.stream, lambda d, n: self._deliver(pending, routed, d, n)
+        )
 
     def _patience_s(self, pending: Pending, routed: routing.Routed) -> float:
         """Time at which an attempt without a first token is replaced, within the budget."""
@@ -464,10 +473,15 @@
     return outcomes.Refused("key_reused", message, http.HTTPStatus.UNPROCESSABLE_ENTITY)
 
 
+def _not_claimed(result: claiming.NotClaimed) -> outcomes.NotRun:
+    return outcomes.NotRun(result.code, "the call was not claimed and did not run", 1.0)
+
+
 def _first_outcome(
     checked: request.CallerRequest, found: claiming.Finished
-) -> outcomes.Done | outcomes.Refused:
-    return found.outcome if found.fingerprint == checked.fingerprint else _key_reused()
+) -> outcomes.Done | outcomes.Unknown | outcomes.Refused:
+    same = found.claim.fingerprint == checked.fingerprint
+    return found.outcome if same else _key_reused()
 
 
 def _late(pending: Pending) -> outcomes.NotRun | outcomes.Unknown:
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -36,7 +36,7 @@
 )
 from gentianpaddle_daemon.entry import (
     agents,
-    claim_objects,
+    claim_log,
     configuration_watch,
     day,
     dispatcher,
@@ -54,7 +54,7 @@
 EXPIRE_PERIOD_S = 0.1
 STORE_THREADS = 8
 WATCH_THREADS = 1
-STORE_BUDGET = store_client.CallBudget(reads_per_s=100.0, writes_per_s=50.0)
+STORE_BUDGET = store_client.CallBudget(reads_per_s=100.0, writes_per_s=60.0)
 DRAIN_POLL_S = 0.05
 REPORT_TIMEOUT_S = 60.0
 
@@ -80,14 +80,18 @@
     def _build(self) -> None:
         own, board = self._own, self.board
         rng = random.Random(board.incarnation)
-        claims = claim_objects.ObjectClaims(self._store, self._store_threads)
+        self._claims = claim_log.new_claim_log(
+            own.process.vm, board.incarnation, self._store, self._store_threads
+        )
         known = statuses.new_statuses()
         self._day = day.new_day_figures(
             own.process.vm, board.incarnation, self._store, self._store_threads, rng
         )
         recorder = figures.Recorder(self._metrics, known, self._day)
         self._agents = agents.Agents(board, self._metrics, self._capacity_changed)
-        self._dispatcher = dispatcher.Dispatcher(board, self._agents, claims, recorder, self._loop)
+        self._dispatcher = dispatcher.Dispatcher(
+            board, self._agents, self._claims, recorder, self._loop
+        )
         self._watch = configuration_watch.ConfigurationWatch(
             board, self._store, self._watch_thread, self._store_threads, self._configuration_changed
         )
@@ -96,7 +100,7 @@
             self._loop,
             self._watch,
             known,
-            claims,
+            self._claims,
             self._metrics,
             self._day,
             self._entry_list,
@@ -168,9 +172,10 @@
             self._watch.run,
             self._expire,
             self._day.run,
+            self._claims.run,
         )
         for loop_body in bodies:
-            asyncio.get_running_loop().create_task(loop_body())
+            self._loop.spawn(loop_body())
         logs.event(_logger, "started", role="entry", incarnation=self.board.incarnation)
 
     async def _drain(self, limit_s: float) -> None:
--- a/packages/daemon/src/gentianpaddle_daemon/entry/settlement.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/settlement.py
@@ -8,7 +8,7 @@
 import typing
 from collections.abc import Awaitable, Callable, Coroutine
 
-from gentianpaddle_core import ids, outcomes
+from gentianpaddle_core import claim_records, ids, outcomes
 
 from gentianpaddle_daemon import logs
 from gentianpaddle_daemon.entry import agents, attempt, claiming, link
@@ -35,7 +35,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def settle(
-        self, claim: claiming.ClaimRequest, until_s: float
+        self, claim: claim_records.Claim, until_s: float
     ) -> outcomes.Done | outcomes.NotRun | outcomes.Unknown:
         """Find out what became of a claimed call.
 
@@ -54,15 +54,7 @@
                 return outcomes.Unknown("unsettled", "ask again by key", 1.0)
             await asyncio.sleep(POLL_S)
 
-    def finish_later(self, claim: claiming.ClaimRequest, done: outcomes.Done) -> None:
-        """Record an outcome as soon as the object API takes it."""
-        self._spawn(self._repeat(lambda: self._claims.finish(claim, done)))
-
-    def release_later(self, claim: claiming.ClaimRequest) -> None:
-        """Release a claim as soon as the object API takes it."""
-        self._spawn(self._repeat(lambda: self._claims.release(claim)))
-
-    def settle_later(self, claim: claiming.ClaimRequest) -> None:
+    def settle_later(self, claim: claim_records.Claim) -> None:
         """Go on asking in the background, so that a caller can learn the result by key."""
 
         async def settled() -> bool:
@@ -71,12 +63,12 @@
         self._spawn(self._repeat(settled))
 
     async def _ask(
-        self, claim: claiming.ClaimRequest
+        self, claim: claim_records.Claim
     ) -> outcomes.Done | outcomes.NotRun | outcomes.Unknown | None:
         through = self._agents.link_to(claim.agent)
         if through is None or through.welcome is None:
             return None
-        if through.welcome.incarnation != claim.incarnation:
+        if through.welcome.incarnation != claim.agent_incarnation:
             # The agent that knew was replaced, so nobody can tell any more.
             return outcomes.Unknown("agent_replaced", "it may have run on a lost VM")
         state = await _query(through, claim.key)
@@ -84,24 +76,25 @@
             return None
         if state.state == pb.ATTEMPT_STATE_DONE:
             done = outcomes.Done(state.body, state.content_type, state.http_status)
-            await self._claims.finish(claim, done)
+            self._claims.settle(claim, done)
             return done
         if state.state == pb.ATTEMPT_STATE_FAILED:
             return outcomes.Unknown("failed", "it may have run without a whole answer")
         return await self._revoke(through, claim)
 
     async def _revoke(
-        self, through: link.AgentLink, claim: claiming.ClaimRequest
+        self, through: link.AgentLink, claim: claim_records.Claim
     ) -> outcomes.NotRun | None:
         inbox = through.open_inbox(claim.key, claim.attempt)
         try:
             proven = await attempt.revoke(through, inbox, claim.key, claim.attempt)
         finally:
             through.close_inbox(claim.key, claim.attempt)
-        if not proven or not await self._claims.release(claim):
+        not_run = outcomes.NotRun("revoked", "the call did not run", 1.0)
+        if not proven or not self._claims.settle(claim, not_run):
             return None
         logs.event(_logger, "claim_released", key=claim.key, agent=claim.agent)
-        return outcomes.NotRun("revoked", "the call did not run", 1.0)
+        return not_run
 
     def _spawn(self, coroutine: Coroutine[typing.Any, typing.Any, None]) -> None:
         if len(self._tasks) >= LATER_TASKS_LIMIT:
--- a/packages/daemon/src/gentianpaddle_daemon/loop_thread.py
+++ b/packages/daemon/src/gentianpaddle_daemon/loop_thread.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import logging
+import os
+import signal
 import threading
 import typing
 from collections.abc import Callable, Coroutine
@@ -12,12 +15,15 @@
 
 STOP_TIMEOUT_S = 5.0
 
+_logger = logging.getLogger("gentianpaddle.loop")
+
 
 class LoopThread:
     """Runs one event loop; other threads hand coroutines and callbacks to it."""
 
     def __init__(self, name: str) -> None:
         self.loop = asyncio.new_event_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._thread = threading.Thread(target=self.loop.run_forever, name=name, daemon=True)
 
     def start(self) -> None:
@@ -47,6 +53,26 @@
             # The loop was closed during a stop; nobody waits for the result any more.
             return
 
+    def spawn(self, coroutine: Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Run a controller on the loop; an exception in it is a broken invariant.
+
+        The process is ended then, because a process without one of its controllers would keep
+        serving on state that nobody maintains.
+
+        Args:
+            coroutine: Controller that runs until it is cancelled.
+        """
+        task = self.loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        _logger.critical("controller_failed", exc_info=task.exception())
+        os.kill(os.getpid(), signal.SIGTERM)
+
     def stop(self) -> None:
         """Cancel all tasks and stop the loop."""
         with contextlib.suppress(TimeoutError):
