--- a/packages/core/src/gentianpaddle_core/_tombstones.py
+++ b/packages/core/src/gentianpaddle_core/_tombstones.py
@@ -2,43 +2,54 @@
 
 from __future__ import annotations
 
+import array
 import collections
 import dataclasses
 import hashlib
+import zlib
+from collections.abc import Iterable
 
 GENERATIONS = 8
 """Parts of the retention time; expiry is exact to one part and always late, never early."""
 ATTEMPT_BITS = 7
 ATTEMPT_MASK = (1 << ATTEMPT_BITS) - 1
-PROBES = 4
-"""Bits set for each item of a filter."""
+ITEM_BITS = 8
+"""Bits of a filter for each item; at this load it holds a foreign item in about 3 of 100 cases."""
 
 
-def digest(text: str) -> int:
+def digest(key: str) -> int:
     """Return a 64-bit digest of a key."""
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8).digest(), "big")
 
 
-def item(entry: str, key: str, attempt: int) -> str:
-    """Return the text of an attempt for a filter; distinct for distinct attempts."""
-    return f"{attempt}/{len(entry)}/{entry}/{key}"
+@dataclasses.dataclass(frozen=True, slots=True)
+class Past:
+    """What is remembered of a key."""
+
+    highest: int
+    """Highest attempt that was admitted, 0 for none."""
+    mask: int
+    """Bits of the attempts that may have run, by attempt number."""
+    strict: bool
+    """Whether the key is non-idempotent."""
+
 
+UNSEEN = Past(0, 0, False)
 
-class Tombstones:
-    """Digests of keys with a small number each, kept for a retention time.
 
-    Whole generations expire at once, which costs nothing for each entry.
+class KeyHistory:
+    """Non-idempotent keys whose records were dropped; none is forgotten before its time.
+
+    Whole generations expire at once, so that expiry costs nothing for each key.
     """
 
-    def __init__(self, retention_s: float, generation_size: int | None = None) -> None:
+    def __init__(self, retention_s: float) -> None:
         """Start empty.
 
         Args:
-            retention_s: Shortest time for which an entry is kept, in seconds.
-            generation_size: Largest number of entries in a generation, None for no bound.
+            retention_s: Shortest time for which a key is kept, in seconds.
         """
         self._retention_s = retention_s
-        self._generation_size = generation_size
         self._span_s = retention_s / GENERATIONS
         self._generations: collections.deque[tuple[float, dict[int, int]]] = collections.deque()
         self._count = 0
@@ -46,153 +57,163 @@
     def __len__(self) -> int:
         return self._count
 
-    def get(self, key_digest: int) -> int | None:
-        """Return the number kept for a digest, or None."""
+    def get(self, key_digest: int) -> Past | None:
+        """Return what is remembered of a key, or None."""
         for _, packed_by_digest in self._generations:
             packed = packed_by_digest.get(key_digest)
             if packed is not None:
-                return packed
+                return Past(packed & ATTEMPT_MASK, packed >> ATTEMPT_BITS, True)
         return None
 
-    def add(self, now_s: float, key_digest: int, packed: int) -> None:
-        """Keep a number for a digest, in place of an earlier one."""
-        self.discard(key_digest)
-        if not self._generations or self._closed(now_s):
+    def add(self, now_s: float, key_digest: int, past: Past) -> None:
+        """Remember a key that is not remembered yet."""
+        if not self._generations or now_s - self._generations[-1][0] >= self._span_s:
             self._generations.append((now_s, {}))
-        self._generations[-1][1][key_digest] = packed
+        self._generations[-1][1][key_digest] = past.mask << ATTEMPT_BITS | past.highest
         self._count += 1
 
     def discard(self, key_digest: int) -> None:
-        """Forget a digest."""
+        """Forget a key."""
         for _, packed_by_digest in self._generations:
             if packed_by_digest.pop(key_digest, None) is not None:
                 self._count -= 1
 
     def expire(self, now_s: float) -> None:
-        """Forget what is older than the retention time."""
-        while (
-            self._generations
-            and now_s - self._generations[0][0] >= self._retention_s + self._span_s
-        ):
-            self.drop_oldest()
+        """Forget the keys that are older than the retention time."""
+        generations = self._generations
+        while generations and now_s - generations[0][0] >= self._retention_s + self._span_s:
+            self._count -= len(generations.popleft()[1])
 
-    def drop_oldest(self) -> None:
-        """Forget the oldest generation."""
-        self._count -= len(self._generations.popleft()[1])
 
-    def _closed(self, now_s: float) -> bool:
-        since_s, packed_by_digest = self._generations[-1]
-        size = self._generation_size
-        return now_s - since_s >= self._span_s or (
-            size is not None and len(packed_by_digest) >= size
-        )
+class AttemptFilter:
+    """Set of attempts in constant memory.
 
+    It may hold an attempt that was never added. A set of bounded size that is exact would have to
+    forget attempts under load instead.
+    """
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Past:
-    """What is remembered of a key."""
-
-    highest: int
-    """Highest attempt that was admitted, 0 for none."""
-    mask: int
-    """Bits of the attempts that may have run, by attempt number."""
-    strict: bool
-    """Whether the key is non-idempotent."""
-
-
-class KeyHistory:
-    """Keys whose records were dropped."""
-
-    def __init__(self, strict_s: float, loose_s: float, loose_count: int) -> None:
+    def __init__(self, bits: int, retention_s: float, forgets: bool) -> None:
         """Start empty.
 
         Args:
-            strict_s: Time for which non-idempotent keys are remembered, in seconds; all of them.
-            loose_s: Time for which idempotent keys are remembered, in seconds.
-            loose_count: Number of idempotent keys above which the oldest are forgotten.
+            bits: Size of each of two generations, a power of two and at least 64.
+            retention_s: Shortest time for which an attempt is kept, in seconds.
+            forgets: Whether the older generation is forgotten early when the newer one is full;
+                otherwise the set comes to hold more and more foreign attempts.
         """
-        self._strict = Tombstones(strict_s)
-        self._loose = Tombstones(loose_s, max(1, loose_count // GENERATIONS))
-        self._loose_count = loose_count
+        self._words = bits // 64
+        self._retention_s = retention_s
+        self._capacity = bits // ITEM_BITS if forgets else None
+        self._current = array.array("Q", bytes(bits // 8))
+        self._previous = array.array("Q", bytes(bits // 8))
+        self._count = 0
+        self._since_s: float | None = None
 
-    @property
-    def strict_count(self) -> int:
-        """Number of non-idempotent keys remembered."""
-        return len(self._strict)
-
-    def get(self, key: str) -> Past:
-        """Return what is remembered of a key."""
-        key_digest = digest(key)
-        packed = self._strict.get(key_digest)
-        strict = packed is not None
-        if packed is None:
-            packed = self._loose.get(key_digest) or 0
-        return Past(packed & ATTEMPT_MASK, packed >> ATTEMPT_BITS, strict)
-
-    def add(self, now_s: float, key: str, past: Past) -> None:
-        """Remember a key."""
-        tombstones = self._strict if past.strict else self._loose
-        tombstones.add(now_s, digest(key), past.mask << ATTEMPT_BITS | past.highest)
-        while len(self._loose) > self._loose_count:
-            self._loose.drop_oldest()
-
-    def discard(self, key: str) -> None:
-        """Forget a key."""
-        key_digest = digest(key)
-        self._strict.discard(key_digest)
-        self._loose.discard(key_digest)
+    def add(self, now_s: float, key_digest: int, attempt: int, entry: str = "") -> None:
+        """Add an attempt of one entry, or of any entry where the entry is left out."""
+        self._rotate(now_s)
+        value = hash((key_digest, attempt, zlib.crc32(entry.encode())))
+        word = (value >> 24) % self._words
+        self._current[word] |= _bits(value)
+        self._count += 1
 
-    def expire(self, now_s: float) -> None:
-        """Forget the keys that are older than their retention time."""
-        self._strict.expire(now_s)
-        self._loose.expire(now_s)
+    def holds(self, now_s: float, key_digest: int, attempt: int, entry: str = "") -> bool:
+        """Return whether an attempt may have been added."""
+        if self._since_s is None:
+            return False
+        self._rotate(now_s)
+        value = hash((key_digest, attempt, zlib.crc32(entry.encode())))
+        word = (value >> 24) % self._words
+        bits = _bits(value)
+        return self._current[word] & bits == bits or self._previous[word] & bits == bits
 
+    def _rotate(self, now_s: float) -> None:
+        if self._since_s is None:
+            self._since_s = now_s
+            return
+        age_s = now_s - self._since_s
+        full = self._capacity is not None and self._count >= self._capacity
+        if age_s >= self._retention_s or full:
+            empty = array.array("Q", bytes(8 * self._words))
+            self._previous = empty[:] if age_s >= 2 * self._retention_s else self._current
+            self._current = empty
+            self._count = 0
+            self._since_s = now_s
 
-class Filter:
-    """Set of items in constant memory that never forgets one within the retention time.
 
-    It may hold an item that was never added, which declines an attempt without need. A set of
-    bounded size would have to forget items under load instead.
-    """
+class Memory:
+    """What must outlive the records of a ledger."""
 
-    def __init__(self, bits: int, retention_s: float) -> None:
+    def __init__(self, bits: int, retention_s: float, late_s: float) -> None:
         """Start empty.
 
         Args:
-            bits: Size of one generation, a power of two.
-            retention_s: Shortest time for which an item is kept, in seconds.
+            bits: Size of a generation of each filter.
+            retention_s: Time for which non-idempotent keys and revocations are kept, in seconds.
+            late_s: Time for which other attempts are kept, in seconds.
         """
-        self._mask = bits - 1
-        self._retention_s = retention_s
-        self._current = bytearray(bits // 8)
-        self._previous = bytearray(bits // 8)
-        self._since_s: float | None = None
+        self._history = KeyHistory(retention_s)
+        self._ran = AttemptFilter(bits, late_s, forgets=True)
+        self._revoked = AttemptFilter(bits, retention_s, forgets=False)
+        self._declined_strict = AttemptFilter(bits, late_s, forgets=False)
+        self._declined_loose = AttemptFilter(bits, late_s, forgets=True)
 
-    def add(self, now_s: float, item: str) -> None:
-        """Add an item."""
-        self._rotate(now_s)
-        for bit in self._bits(item):
-            self._current[bit >> 3] |= 1 << (bit & 7)
-
-    def holds(self, now_s: float, item: str) -> bool:
-        """Return whether an item may have been added."""
-        self._rotate(now_s)
-        bits = self._bits(item)
-        return all(self._current[bit >> 3] >> (bit & 7) & 1 for bit in bits) or all(
-            self._previous[bit >> 3] >> (bit & 7) & 1 for bit in bits
-        )
+    @property
+    def strict_keys(self) -> int:
+        """Number of non-idempotent keys kept."""
+        return len(self._history)
+
+    def ran(self, now_s: float, key_digest: int, attempts: Iterable[int]) -> bool:
+        """Return whether one of some attempts ran under an idempotent record that was dropped."""
+        return any(self._ran.holds(now_s, key_digest, attempt) for attempt in attempts)
+
+    def strict_past(self, key_digest: int) -> Past | None:
+        """Return what is remembered of a non-idempotent key, or None."""
+        return self._history.get(key_digest)
+
+    def remember(self, now_s: float, key_digest: int, past: Past) -> None:
+        """Remember a key whose record is dropped."""
+        if past.strict:
+            self._history.add(now_s, key_digest, past)
+            return
+        for attempt in range(1, past.highest + 1):
+            if past.mask >> attempt & 1:
+                self._ran.add(now_s, key_digest, attempt)
 
-    def _bits(self, item: str) -> tuple[int, ...]:
-        value = digest(item)
-        first, second = value & 0xFFFFFFFF, value >> 32 | 1
-        return tuple((first + n * second) & self._mask for n in range(PROBES))
+    def discard(self, key_digest: int) -> None:
+        """Forget a key that has a record again."""
+        self._history.discard(key_digest)
 
-    def _rotate(self, now_s: float) -> None:
-        if self._since_s is None:
-            self._since_s = now_s
-        elif now_s - self._since_s >= self._retention_s:
-            idle = now_s - self._since_s >= 2 * self._retention_s
-            size = len(self._current)
-            self._previous = bytearray(size) if idle else self._current
-            self._current = bytearray(size)
-            self._since_s = now_s
+    def expire(self, now_s: float) -> None:
+        """Forget what is older than its retention time."""
+        self._history.expire(now_s)
+
+    def decline(
+        self, now_s: float, key_digest: int, attempt: int, entry: str, strict: bool
+    ) -> None:
+        """Remember that an attempt must not run."""
+        declined = self._declined_strict if strict else self._declined_loose
+        declined.add(now_s, key_digest, attempt, entry)
+
+    def declined(self, now_s: float, key_digest: int, attempt: int, entry: str) -> bool:
+        """Return whether an attempt must not run."""
+        return self._declined_strict.holds(
+            now_s, key_digest, attempt, entry
+        ) or self._declined_loose.holds(now_s, key_digest, attempt, entry)
+
+    def revoke(self, now_s: float, key_digest: int, attempt: int) -> None:
+        """Remember that an attempt of any entry must not run."""
+        self._revoked.add(now_s, key_digest, attempt)
+
+    def revoked(self, now_s: float, key_digest: int, attempt: int) -> bool:
+        """Return whether an attempt was revoked."""
+        return self._revoked.holds(now_s, key_digest, attempt)
+
+
+def _bits(value: int) -> int:
+    return (
+        1 << (value & 63)
+        | 1 << (value >> 6 & 63)
+        | 1 << (value >> 12 & 63)
+        | 1 << (value >> 18 & 63)
+    )
--- a/packages/core/src/gentianpaddle_core/capacity.py
+++ b/packages/core/src/gentianpaddle_core/capacity.py
@@ -192,12 +192,15 @@
                 time; None when the attempt did not complete.
         """
         used = self._running >= USED_SHARE * self.limit
+        in_round = self._round_left > 0
         self._running -= 1
         self._known(now_s, entry).running -= 1
-        self._round_left = max(0, self._round_left - 1)
-        if step_s is None:
+        if in_round:
+            # Attempts from before a fall say nothing about the limit after it.
+            self._round_left -= 1
+        elif step_s is None:
             return
-        if step_s > self._settings.expected_step_s:
+        elif step_s > self._settings.expected_step_s:
             self._slow_step()
         elif used:
             self._level = min(self._level + self._settings.growth, float(self._maximum))
--- a/packages/core/src/gentianpaddle_core/ledger.py
+++ b/packages/core/src/gentianpaddle_core/ledger.py
@@ -40,17 +40,17 @@
     """What the ledger knows about a key."""
 
     UNSEEN = "unseen"
-    """No attempt was admitted; one can still arrive unless it is revoked."""
+    """No attempt is known; one can still arrive unless it is revoked."""
     RUNNING = "running"
     """An attempt was admitted and has not ended."""
     DONE = "done"
     """The last attempt completed."""
     FAILED = "failed"
-    """The last attempt failed after it may have run."""
+    """No attempt runs or completed last, and one may have run."""
     NOT_RUN = "not_run"
     """Every attempt that was admitted ended before the backend server saw it."""
     DROPPED = "dropped"
-    """An attempt may have run, and its record was dropped."""
+    """An attempt of a non-idempotent key may have run, and its record was dropped."""
 
 
 class StopEffect(enum.StrEnum):
@@ -85,12 +85,10 @@
     """Age up to which an outcome is kept, in seconds."""
     tombstones: int = 200_000
     """Non-idempotent keys known at once; further ones are declined."""
-    idempotent_tombstones: int = 50_000
-    """Idempotent keys remembered after their record; the oldest are forgotten."""
     retention_s: float = 86_400.0
     """Time for which a non-idempotent key or a revocation is remembered, in seconds."""
     late_s: float = 3_600.0
-    """Time for which a declined attempt stays declined, in seconds; the longest deadline."""
+    """Time for which a declined attempt stays declined, in seconds: the longest deadline."""
     filter_bits: int = 1 << 22
     """Bits of each filter of attempts that must not run."""
 
@@ -184,25 +182,12 @@
     """The outcome, present only with `KeyStatus.DONE`."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Running:
-    """An attempt that was admitted and has not ended."""
-
-    entry: ids.VmId
-    """Entry that sent it."""
-    key: ids.RequestKey
-    """Key of the request."""
-    attempt: ids.Attempt
-    """Number of the attempt."""
-    fingerprint: ids.Fingerprint
-    """Fingerprint of the request."""
-    started: bool
-    """Whether the backend server may have seen it."""
-
-
 @dataclasses.dataclass(slots=True)
 class _Record:
     start: StartRequest
+    digest: int
+    strict: bool
+    """Whether the key is non-idempotent."""
     mask: int
     """Bits of the attempts that may have run, by attempt number."""
     status: KeyStatus = KeyStatus.RUNNING
@@ -211,7 +196,7 @@
     ended_s: float = 0.0
 
     def past(self) -> _tombstones.Past:
-        return _tombstones.Past(self.start.attempt, self.mask, not self.start.idempotent)
+        return _tombstones.Past(self.start.attempt, self.mask, self.strict)
 
     def size(self) -> int:
         return len(self.outcome.body or b"") if self.outcome is not None else 0
@@ -234,11 +219,7 @@
         )
         self._kept_bytes = 0
         self._strict_records = 0
-        self._history = _tombstones.KeyHistory(
-            limits.retention_s, limits.late_s, limits.idempotent_tombstones
-        )
-        self._declined = _tombstones.Filter(limits.filter_bits, limits.late_s)
-        self._revoked = _tombstones.Filter(limits.filter_bits, limits.retention_s)
+        self._memory = _tombstones.Memory(limits.filter_bits, limits.retention_s, limits.late_s)
 
     def admit(
         self, now_s: float, start: StartRequest, conditions: Conditions
@@ -252,27 +233,21 @@
         """
         self._expire(now_s)
         key, attempt = start.key, start.attempt
-        past = self._known(key)
+        digest = _tombstones.digest(key)
+        past = self._past(now_s, key, digest, attempt)
         if past.mask >> attempt & 1:
             return Admitted(key, attempt, repeated=True)
-        reason = self._reason(now_s, start, conditions)
-        if reason is None:
-            if attempt <= past.highest or not 0 < attempt <= MAX_ATTEMPT:
-                reason = DeclineReason.STALE_ATTEMPT
-            elif past.mask and (past.strict or not start.idempotent):
-                reason = DeclineReason.KEY_SEEN
-            elif not (past.strict or start.idempotent) and self._full():
-                reason = DeclineReason.TOMBSTONES_FULL
-            elif not self._places.take(now_s, start.entry):
-                reason = DeclineReason.CAPACITY
+        reason = self._reason(now_s, start, conditions, digest, past)
         if reason is not None:
-            self._declined.add(now_s, _tombstones.item(start.entry, key, attempt))
+            self._memory.decline(now_s, digest, attempt, start.entry, not start.idempotent)
             return Declined(key, attempt, reason)
-        self._forget(key)
-        kept = dataclasses.replace(start, idempotent=start.idempotent and not past.strict)
-        self._running_by_key[key] = _Record(kept, past.mask | 1 << attempt)
+        if past.highest:
+            self._drop_record(key)
+            self._memory.discard(digest)
+        strict = past.strict or not start.idempotent
+        self._running_by_key[key] = _Record(start, digest, strict, past.mask | 1 << attempt)
         self._key_by_fingerprint[start.fingerprint] = key
-        self._strict_records += not kept.idempotent
+        self._strict_records += strict
         return Admitted(key, attempt)
 
     def start(self, now_s: float, key: ids.RequestKey, attempt: ids.Attempt) -> Effect:
@@ -319,11 +294,7 @@
     ) -> Effect:
         """Record that an attempt ended without an answer.
 
-        Args:
-            now_s: Monotonic time in seconds.
-            key: Key of the request.
-            attempt: Number of the attempt.
-            may_have_run: False only with proof that the backend server did not see it.
+        `may_have_run` is False only with proof that the backend server did not see it.
         """
         record = self._running(key, attempt)
         if record is None:
@@ -339,8 +310,15 @@
     ) -> StopEffect:
         """Stop one attempt of one entry, also one that has not arrived yet."""
         self._expire(now_s)
-        self._declined.add(now_s, _tombstones.item(entry, key, attempt))
-        return self._stop(now_s, key, 1 << attempt)
+        if not 0 < attempt <= MAX_ATTEMPT:
+            return StopEffect.NOT_RUN
+        digest = _tombstones.digest(key)
+        record = self._running(key, attempt)
+        if record is not None and record.start.entry != entry:
+            return StopEffect.MAY_HAVE_RUN
+        if not self._past(now_s, key, digest, attempt).mask >> attempt & 1:
+            self._memory.decline(now_s, digest, attempt, entry, strict=True)
+        return self._stop(now_s, key, digest, attempt, attempt)
 
     def revoke(self, now_s: float, key: ids.RequestKey, attempt: ids.Attempt) -> StopEffect:
         """Stop all attempts of a key up to one, of any entry, also those that arrive later.
@@ -349,85 +327,109 @@
             now_s: Monotonic time in seconds.
             key: Key of the request.
             attempt: Highest attempt that is revoked; `EVERY_ATTEMPT` for all.
-
-        Returns:
-            What is known about the revoked attempts now.
         """
         self._expire(now_s)
-        covered = min(attempt, EVERY_ATTEMPT)
-        for number in range(1, covered + 1):
-            self._revoked.add(now_s, _tombstones.item("", key, number))
-        return self._stop(now_s, key, (2 << covered) - 1)
+        digest = _tombstones.digest(key)
+        last = min(attempt, EVERY_ATTEMPT)
+        for number in range(1, last + 1):
+            self._memory.revoke(now_s, digest, number)
+        return self._stop(now_s, key, digest, 1, last)
 
     def query(self, now_s: float, key: ids.RequestKey) -> KeyState:
         """Return what is known about a key."""
         self._expire(now_s)
         record = self._running_by_key.get(key) or self._ended_by_key.get(key)
         if record is not None:
-            return KeyState(key, record.status, record.start.attempt, record.outcome)
-        past = self._history.get(key)
-        if past.highest == 0:
+            status, attempts = record.status, range(1, MAX_ATTEMPT + 1)
+            if status is KeyStatus.NOT_RUN and self._memory.ran(now_s, record.digest, attempts):
+                status = KeyStatus.FAILED
+            return KeyState(key, status, record.start.attempt, record.outcome)
+        past = self._memory.strict_past(_tombstones.digest(key))
+        if past is None:
             return KeyState(key, KeyStatus.UNSEEN)
         status = KeyStatus.DROPPED if past.mask else KeyStatus.NOT_RUN
         return KeyState(key, status, ids.Attempt(past.highest))
 
-    def running(self) -> tuple[Running, ...]:
+    def running(self) -> tuple[StartRequest, ...]:
         """Return the attempts that were admitted and have not ended."""
-        return tuple(
-            Running(r.start.entry, key, r.start.attempt, r.start.fingerprint, r.started)
-            for key, r in self._running_by_key.items()
-        )
+        return tuple(record.start for record in self._running_by_key.values())
 
     def _reason(
-        self, now_s: float, start: StartRequest, conditions: Conditions
+        self,
+        now_s: float,
+        start: StartRequest,
+        conditions: Conditions,
+        digest: int,
+        past: _tombstones.Past,
     ) -> DeclineReason | None:
-        key, attempt = start.key, start.attempt
+        key, attempt, reason = start.key, start.attempt, None
+        strict = past.strict or not start.idempotent
         if start.expected_incarnation != self._incarnation:
-            return DeclineReason.INCARNATION
-        if conditions.leaving:
-            return DeclineReason.LEAVING
-        if conditions.data_centre_out or conditions.vm_out:
-            return DeclineReason.OUT
-        if now_s >= start.deadline_s:
-            return DeclineReason.DEADLINE
-        if conditions.quarantined:
-            return DeclineReason.QUARANTINED
-        if start.fingerprint in self._key_by_fingerprint or key in self._running_by_key:
-            return DeclineReason.FINGERPRINT_RUNNING
-        if self._revoked.holds(now_s, _tombstones.item("", key, attempt)):
-            return DeclineReason.REVOKED
-        if self._declined.holds(now_s, _tombstones.item(start.entry, key, attempt)):
-            return DeclineReason.DECLINED_BEFORE
-        return None
-
-    def _known(self, key: ids.RequestKey) -> _tombstones.Past:
+            reason = DeclineReason.INCARNATION
+        elif conditions.leaving:
+            reason = DeclineReason.LEAVING
+        elif conditions.data_centre_out or conditions.vm_out:
+            reason = DeclineReason.OUT
+        elif now_s >= start.deadline_s:
+            reason = DeclineReason.DEADLINE
+        elif conditions.quarantined:
+            reason = DeclineReason.QUARANTINED
+        elif start.fingerprint in self._key_by_fingerprint or key in self._running_by_key:
+            reason = DeclineReason.FINGERPRINT_RUNNING
+        elif self._memory.revoked(now_s, digest, attempt):
+            reason = DeclineReason.REVOKED
+        elif self._memory.declined(now_s, digest, attempt, start.entry):
+            reason = DeclineReason.DECLINED_BEFORE
+        elif attempt <= past.highest or not 0 < attempt <= MAX_ATTEMPT:
+            reason = DeclineReason.STALE_ATTEMPT
+        elif past.mask and strict:
+            reason = DeclineReason.KEY_SEEN
+        elif strict and not past.strict and self._full():
+            reason = DeclineReason.TOMBSTONES_FULL
+        elif not self._places.take(now_s, start.entry):
+            reason = DeclineReason.CAPACITY
+        return reason
+
+    def _past(
+        self, now_s: float, key: ids.RequestKey, digest: int, attempt: int
+    ) -> _tombstones.Past:
         record = self._running_by_key.get(key) or self._ended_by_key.get(key)
-        return self._history.get(key) if record is None else record.past()
+        past = self._memory.strict_past(digest) if record is None else record.past()
+        past = past or _tombstones.UNSEEN
+        if self._memory.ran(now_s, digest, (attempt,)):
+            past = dataclasses.replace(past, mask=past.mask | 1 << attempt)
+        return past
 
     def _running(self, key: ids.RequestKey, attempt: ids.Attempt) -> _Record | None:
         record = self._running_by_key.get(key)
         return record if record is not None and record.start.attempt == attempt else None
 
     def _full(self) -> bool:
-        return self._strict_records + self._history.strict_count >= self._limits.tombstones
+        return self._strict_records + self._memory.strict_keys >= self._limits.tombstones
 
-    def _forget(self, key: ids.RequestKey) -> None:
+    def _drop_record(self, key: ids.RequestKey) -> None:
         record = self._ended_by_key.pop(key, None)
         if record is not None:
             self._kept_bytes -= record.size()
-            self._strict_records -= not record.start.idempotent
-        self._history.discard(key)
+            self._strict_records -= record.strict
 
-    def _stop(self, now_s: float, key: ids.RequestKey, covered: int) -> StopEffect:
+    def _stop(
+        self, now_s: float, key: ids.RequestKey, digest: int, first: int, last: int
+    ) -> StopEffect:
         record = self._running_by_key.get(key)
-        if record is not None and covered >> record.start.attempt & 1:
+        if record is not None and first <= record.start.attempt <= last:
             if record.started:
                 return StopEffect.RUNNING
             self._end_not_run(now_s, record)
-        return StopEffect.MAY_HAVE_RUN if self._known(key).mask & covered else StopEffect.NOT_RUN
+        for attempt in range(first, last + 1):
+            if self._past(now_s, key, digest, attempt).mask >> attempt & 1:
+                return StopEffect.MAY_HAVE_RUN
+        return StopEffect.NOT_RUN
 
     def _end_not_run(self, now_s: float, record: _Record) -> None:
         record.mask &= ~(1 << record.start.attempt)
+        start = record.start
+        self._memory.decline(now_s, record.digest, start.attempt, start.entry, record.strict)
         status = KeyStatus.FAILED if record.mask else KeyStatus.NOT_RUN
         self._end(now_s, record, status, None)
 
@@ -452,9 +454,9 @@
                 and self._kept_bytes <= limits.kept_bytes
             ):
                 break
-            self._forget(key)
-            self._history.add(now_s, key, record.past())
-        self._history.expire(now_s)
+            self._drop_record(key)
+            self._memory.remember(now_s, record.digest, record.past())
+        self._memory.expire(now_s)
 
 
 def new_ledger(
@@ -462,14 +464,5 @@
     places: capacity.Capacity,
     limits: LedgerLimits | None = None,
 ) -> AttemptLedger:
-    """Return an empty ledger.
-
-    Args:
-        incarnation: Incarnation of the agent.
-        places: Capacity of the backend server; the ledger takes and releases its places.
-        limits: Bounds of what is kept.
-
-    Returns:
-        A ledger that knows no key.
-    """
+    """Return an empty ledger, which takes and releases the places of a backend server."""
     return AttemptLedger(incarnation, places, limits or LedgerLimits())
--- /dev/null
+++ b/packages/core/tests/test_answer_stream.py
@@ -0,0 +1,117 @@
+"""Guards against answers that are out of order, cut short, or mixed from other requests."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from gentianpaddle_core import answer_stream, ids
+
+KEY = ids.RequestKey("o1/k1")
+FIRST = ids.Attempt(1)
+
+
+def chunk(sequence: int, data: bytes, attempt: int = 1, key: str = KEY) -> answer_stream.Chunk:
+    return answer_stream.Chunk(ids.RequestKey(key), ids.Attempt(attempt), sequence, data)
+
+
+def end(chunks: int, attempt: int = 1, key: str = KEY) -> answer_stream.End:
+    return answer_stream.End(ids.RequestKey(key), ids.Attempt(attempt), chunks, 200, "text/plain")
+
+
+def feed(stream: answer_stream.AnswerStream, messages: list[object]) -> list[str]:
+    seen = []
+    for message in messages:
+        if isinstance(message, answer_stream.Chunk):
+            result = stream.receive_chunk(message)
+        else:
+            assert isinstance(message, answer_stream.End)
+            result = stream.receive_end(message)
+        if isinstance(result, answer_stream.Delivered):
+            seen.append(result.data.decode() + ("." if result.complete else ""))
+        else:
+            seen.append(getattr(result, "reason", "buffered"))
+    return seen
+
+
+ACCENT = "é".encode()
+
+
+@pytest.mark.parametrize(
+    ("messages", "seen", "closing"),
+    [
+        ([chunk(0, b"a"), chunk(1, b"b"), end(2)], ["a", "b", "."], "complete"),
+        ([end(0)], ["."], "complete"),
+        ([end(2), chunk(1, b"b"), chunk(0, b"a")], ["buffered", "buffered", "ab."], "complete"),
+        ([chunk(0, b"a"), chunk(0, b"a"), end(1)], ["a", "duplicate", "."], "complete"),
+        ([chunk(0, b"x", key="o2/k1"), end(0, key="o2/k1")], ["other_key"] * 2, "end_missing"),
+        ([chunk(0, b"x", attempt=2)], ["future_attempt"], "end_missing"),
+        ([chunk(0, b"a")], ["a"], "end_missing"),
+        ([chunk(1, b"b")], ["buffered"], "chunk_missing"),
+        ([chunk(0, b"a"), end(2)], ["a", "buffered"], "chunk_missing"),
+        ([end(1), chunk(1, b"b"), chunk(0, b"a")], ["buffered", "beyond_end", "a"], "inconsistent"),
+        ([chunk(0, b"a"), chunk(1, b"b"), end(1)], ["a", "b", "buffered"], "inconsistent"),
+        ([end(2), end(1), chunk(0, b"a")], ["buffered", "duplicate", "a"], "inconsistent"),
+        ([end(1), chunk(0, b"a"), chunk(0, b"a")], ["buffered", "a.", "closed"], "complete"),
+        ([chunk(0, ACCENT[:1]), chunk(1, ACCENT[1:]), end(2)], ["", "é", "."], "complete"),
+    ],
+)
+def test_messages_in_any_order(messages: list[object], seen: list[str], closing: str):
+    stream = answer_stream.new_answer_stream(KEY, FIRST)
+    assert feed(stream, messages) == seen
+    result = stream.close()
+    assert getattr(result, "reason", "complete") == closing
+    assert feed(stream, [chunk(9, b"late")]) == ["closed"]
+
+
+def test_buffer_is_bounded_and_a_dropped_chunk_is_never_a_whole_answer():
+    stream = answer_stream.new_answer_stream(KEY, FIRST)
+    count = answer_stream.BUFFERED_CHUNKS
+    seen = feed(stream, [chunk(n, b"x") for n in range(1, count + 2)])
+    assert seen == ["buffered"] * count + ["buffer_full"]
+    feed(stream, [chunk(0, b"x"), chunk(count + 1, b"x"), end(count + 2)])
+    assert isinstance(stream.close(), answer_stream.Incomplete)
+    wide = answer_stream.new_answer_stream(KEY, FIRST)
+    assert feed(wide, [chunk(1, bytes(answer_stream.BUFFERED_BYTES + 1))]) == ["buffer_full"]
+
+
+def test_resume_continues_after_whole_characters_and_drops_the_old_attempt():
+    stream = answer_stream.new_answer_stream(KEY, FIRST)
+    feed(stream, [chunk(0, b"caf" + ACCENT[:1]), chunk(2, b"x")])
+    assert stream.resume(ids.Attempt(2)) == answer_stream.ResumePoint(ids.Attempt(2), "caf")
+    late = [chunk(1, ACCENT[1:]), end(3), chunk(0, ACCENT, attempt=2), end(1, attempt=2)]
+    assert feed(stream, late) == ["old_attempt", "old_attempt", "é", "."]
+    with pytest.raises(ValueError, match="not above"):
+        stream.resume(ids.Attempt(2))
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_answer_that_cannot_be_resumed(resumable: bool):
+    stream = answer_stream.new_answer_stream(KEY, FIRST, resumable)
+    size = answer_stream.RESUMABLE_BYTES + 1 if resumable else 3
+    stream.receive_chunk(chunk(0, b"\xff" * 3 if not resumable else b"x" * size))
+    assert stream.resume(ids.Attempt(2)) == answer_stream.NotResumable(size)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_shuffled_doubled_and_crossed_messages_give_the_same_answer(seed: int):
+    rng = random.Random(seed)
+    text = "".join(rng.choice("aé漢🙂") for _ in range(60)).encode()
+    cuts = sorted(rng.sample(range(len(text)), 11))
+    parts = [text[a:b] for a, b in zip([0, *cuts], [*cuts, len(text)], strict=True)]
+    messages: list[object] = [chunk(n, part) for n, part in enumerate(parts)] + [end(len(parts))]
+    messages += rng.choices(messages, k=8)
+    messages += [chunk(n, b"wrong", key="o2/k1") for n in range(3)]
+    rng.shuffle(messages)
+    stream = answer_stream.new_answer_stream(KEY, FIRST)
+    delivered = b""
+    for message in messages:
+        if isinstance(message, answer_stream.Chunk):
+            result = stream.receive_chunk(message)
+        else:
+            assert isinstance(message, answer_stream.End)
+            result = stream.receive_end(message)
+        delivered += result.data if isinstance(result, answer_stream.Delivered) else b""
+        assert text.startswith(delivered)
+    assert delivered == text
+    assert stream.close() == answer_stream.Complete(200, "text/plain")
--- /dev/null
+++ b/packages/core/tests/test_capacity.py
@@ -0,0 +1,374 @@
+"""Guards against a cold backend server under load and against grants above its limit."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+from gentianpaddle_core import capacity, ids
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+STEP_S = 0.03
+E1 = ids.VmId("e1")
+
+
+def new_capacity(maximum: int = 16) -> capacity.Capacity:
+    return capacity.new_capacity(capacity.CapacitySettings(maximum, STEP_S))
+
+
+def ramp(target: capacity.Capacity, limit: int) -> None:
+    """Complete work in time until the limit is reached."""
+    while target.limit < limit:
+        rounds = target.limit
+        assert all(target.take(0.0, E1) for _ in range(rounds))
+        for _ in range(rounds):
+            target.release(0.0, E1, STEP_S / 2)
+
+
+def report(incarnation: int = 1, **values: object) -> capacity.EngineReport:
+    usual = capacity.EngineReport(incarnation, STEP_S / 2, 1_000.0, 8, 50_000)
+    return dataclasses.replace(usual, **values)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("limit", "places", "step_s", "after"),
+    [
+        (1, 1, STEP_S / 2, 2),
+        (8, 8, STEP_S / 2, 9),
+        (8, 3, STEP_S / 2, 8),
+        (8, 8, STEP_S * 2, 4),
+        (8, 8, None, 8),
+        (16, 16, STEP_S / 2, 16),
+    ],
+)
+def test_limit_after_four_completions(limit: int, places: int, step_s: float | None, after: int):
+    target = new_capacity()
+    ramp(target, limit)
+    for _ in range(4):
+        while target.running < places:
+            assert target.take(0.0, E1)
+        target.release(0.0, E1, step_s)
+        places = min(places, target.limit)
+    assert target.limit == after
+
+
+def test_slow_steps_halve_once_per_round_of_completions():
+    target = new_capacity()
+    ramp(target, 16)
+    assert all(target.take(0.0, E1) for _ in range(16))
+    for _ in range(5):
+        target.observe_engine(0.0, report(step_s=STEP_S * 3))
+    assert target.limit == 8
+    for _ in range(16):
+        target.release(0.0, E1, STEP_S * 3)
+    assert target.limit == 8
+    target.observe_engine(0.0, report(step_s=STEP_S * 3))
+    assert target.limit == 4
+
+
+@pytest.mark.parametrize(
+    ("change", "cause"),
+    [
+        ({}, None),
+        ({"incarnation": 2}, capacity.ColdCause.ENGINE_INCARNATION),
+        ({"incarnation": 0, "cached_tokens": 0}, None),
+        ({"cached_tokens": 100}, capacity.ColdCause.CACHE_LOST),
+        ({"cached_tokens": 20_000}, None),
+        ({"tokens_per_s": 300.0}, capacity.ColdCause.RATE_FELL),
+        ({"tokens_per_s": 0.0}, capacity.ColdCause.RATE_FELL),
+        ({"tokens_per_s": 300.0, "running": 1}, None),
+        ({"tokens_per_s": 2_000.0, "running": 60}, None),
+        ({"tokens_per_s": 0.0, "running": 0}, None),
+    ],
+)
+def test_warm_server_turns_cold_without_warning(
+    change: dict[str, object], cause: capacity.ColdCause | None
+):
+    target = new_capacity()
+    ramp(target, 16)
+    assert all(target.take(0.0, E1) for _ in range(8))
+    for _ in range(4):
+        assert target.observe_engine(0.0, report()) is None
+    assert target.observe_engine(0.0, report(**change)) is cause  # type: ignore[arg-type]
+    assert target.limit == (16 if cause is None else 1)
+    if cause is not None:
+        # Work admitted while warm must not let the limit grow.
+        for _ in range(8):
+            assert not target.take(0.0, E1)
+            target.release(0.0, E1, STEP_S / 2)
+        assert target.limit == 1
+
+
+def test_lost_engine_admits_nothing_until_it_reports():
+    target = new_capacity()
+    ramp(target, 4)
+    target.lose_engine(0.0)
+    assert not target.take(0.0, E1)
+    target.observe_engine(0.0, report())
+    assert [target.take(0.0, E1), target.take(0.0, E1)] == [True, False]
+
+
+@pytest.mark.parametrize(
+    ("used_share", "limit"), [(0.0, 16), (0.25, 16), (0.9, 8), (1.6, 4), (99.0, 1)]
+)
+def test_pressure_holds_the_configured_maximum(used_share: float, limit: int):
+    target = new_capacity()
+    ramp(target, 16)
+    assert all(target.take(0.0, E1) for _ in range(8))
+    target.apply_pressure(0.0, used_share)
+    assert target.limit == limit
+
+
+@pytest.mark.parametrize(
+    ("limit", "demands", "amounts"),
+    [
+        (0, [1, 2], [0, 0]),
+        (5, [], []),
+        (1, [3, 3, 3], [1, 0, 0]),
+        (8, [0, 0, 0], [3, 3, 2]),
+        (8, [1, 20, 20], [1, 4, 3]),
+        (10, [2, 2, 1], [4, 4, 2]),
+        (9, [2, 2, 1], [4, 3, 2]),
+    ],
+)
+def test_division_favours_the_least_served(limit: int, demands: list[int], amounts: list[int]):
+    assert [share.amount for share in capacity.divide(limit, demands)] == amounts
+
+
+@pytest.mark.parametrize(("limit", "entries"), [(1, 3), (2, 9), (5, 8)])
+def test_every_entry_with_demand_gets_a_grant(limit: int, entries: int):
+    target = new_capacity()
+    ramp(target, limit)
+    names = [ids.VmId(f"e{n}") for n in range(entries)]
+    epochs = dict.fromkeys(names, 0)
+    served = set()
+    for tick in range(200):
+        now_s = tick * 0.1
+        for name in names[1:] if tick > 5 else names:  # e0 falls silent with its grant.
+            target.hear(now_s, name, demand=3, acknowledged_epoch=epochs[name])
+        for grant in target.refresh(now_s):
+            epochs[grant.entry] = grant.epoch
+            if grant.amount:
+                served.add((tick // 100, grant.entry))
+        assert target.view(now_s).outstanding <= limit
+    assert {name for half, name in served if half == 1} == set(names[1:])
+
+
+E2 = ids.VmId("e2")
+
+
+@pytest.mark.parametrize(
+    ("acknowledged", "now_s", "amounts"),
+    [
+        (0, 1.9, [4, 0]),
+        (1, 1.9, [4, 0]),
+        (2, 1.9, [4, 4]),
+        (99, 1.9, [4, 0]),
+        (0, 2.0, [4, 4]),
+    ],
+)
+def test_reduction_counts_after_acknowledgement_or_expiry(
+    acknowledged: int, now_s: float, amounts: list[int]
+):
+    target = new_capacity(8)
+    ramp(target, 8)
+    target.hear(0.0, E1, 9)
+    assert target.refresh(0.0) == (capacity.Grant(E1, 8, 1),)
+    target.hear(0.01, E2, 9)
+    assert [grant.amount for grant in target.refresh(0.01)] == [4, 0]
+    target.hear(now_s, E1, 9, acknowledged)
+    target.hear(now_s, E2, 9)
+    assert [grant.amount for grant in target.refresh(now_s)] == amounts
+
+
+def test_running_attempts_hold_places_after_their_grant_is_reduced():
+    target = new_capacity(8)
+    ramp(target, 8)
+    assert all(target.take(0.0, E1) for _ in range(6))
+    target.hear(0.0, E1, 6)
+    target.hear(0.0, E2, 9)
+    assert [grant.amount for grant in target.refresh(0.0)] == [4, 2]
+
+
+def test_grants_of_running_attempts_share_what_is_free():
+    target = new_capacity(9)
+    ramp(target, 9)
+    e3, e4 = ids.VmId("e3"), ids.VmId("e4")
+    target.hear(0.0, e3, 8)
+    target.hear(0.0, e4, 1)
+    target.refresh(0.0)
+    now_s = capacity.GRANT_LIFETIME_S
+    target.hear(1.0, e3, 8)
+    target.forget(1.0, e4)
+    target.refresh(1.0)
+    assert all(target.take(now_s, entry) for entry in [E1] * 4 + [E2] * 4)
+    for entry in (E1, E2):
+        target.hear(now_s, entry, 4)
+    target.hear(now_s, e3, 8)
+    target.refresh(now_s)
+    assert target.view(now_s).outstanding == 9
+
+
+def test_entry_stops_using_a_grant_before_the_agent_stops_counting_it():
+    held = capacity.new_held_grant()
+    held.receive(capacity.GRANT_MARGIN_S, 3, 1)
+    assert held.amount(capacity.GRANT_LIFETIME_S - 0.01) == 3
+    held.receive(capacity.GRANT_LIFETIME_S - 0.01, 3, 1)
+    assert held.amount(capacity.GRANT_LIFETIME_S) == 0
+
+
+def test_entries_are_bounded():
+    target = new_capacity()
+    for number in range(capacity.MAX_ENTRIES + 5):
+        target.hear(0.0, ids.VmId(f"e{number}"), demand=1)
+    assert len(target.refresh(0.0)) == capacity.MAX_ENTRIES
+    assert target.refresh(capacity.ENTRY_SILENCE_S) == ()
+
+
+ENTRIES = tuple(ids.VmId(f"e{n}") for n in range(4))
+
+
+@dataclasses.dataclass(frozen=True)
+class _Sent:
+    grant: capacity.Grant
+    sent_s: float
+
+
+class CapacityMachine(stateful.RuleBasedStateMachine):
+    """Grants and acknowledgements are lost, late and doubled; entries pause; the engine cools."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.target = new_capacity(8)
+        ramp(self.target, 8)
+        self.held = {entry: capacity.new_held_grant() for entry in ENTRIES}
+        self.sent: list[_Sent] = []
+        self.acknowledged = dict.fromkeys(ENTRIES, 0)
+        self.heartbeats: list[tuple[ids.VmId, int, int]] = []
+        self.running = dict.fromkeys(ENTRIES, 0)
+        self.limits = [(0.0, 8)]
+        self.late_s = dict.fromkeys(ENTRIES, -9.0)
+
+    def outstanding(self, entry: ids.VmId) -> int:
+        """Return what the entry may still use, by the messages sent and acknowledged."""
+        counted = [
+            sent.grant.amount
+            for sent in self.sent
+            if sent.grant.entry == entry
+            and sent.grant.epoch >= self.acknowledged[entry]
+            and self.now_s < sent.sent_s + capacity.GRANT_LIFETIME_S
+        ]
+        return max(counted, default=0)
+
+    def committed(self) -> int:
+        return sum(max(self.outstanding(entry), self.running[entry]) for entry in ENTRIES)
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.1, 0.4, 1.0, 2.5]))
+    def pass_time(self, seconds: float):
+        self.now_s += seconds
+
+    @stateful.rule(
+        demand_by_entry=st.dictionaries(st.sampled_from(ENTRIES), st.integers(0, 9), min_size=1),
+        heard=st.sets(st.sampled_from(ENTRIES)),
+        late=st.booleans(),
+    )
+    def exchange(self, demand_by_entry: dict[ids.VmId, int], heard: set[ids.VmId], late: bool):
+        for entry, demand in demand_by_entry.items():
+            heartbeat = (entry, demand, self.held[entry].epoch)
+            self.heartbeats.append(heartbeat)
+            if not late:
+                self.hear(heartbeat)
+        committed = self.committed()
+        outstanding = sum(map(self.outstanding, ENTRIES))
+        grants = self.target.refresh(self.now_s)
+        self.sent += [_Sent(grant, self.now_s) for grant in grants]
+        limit = self.target.limit
+        assert self.committed() <= max(committed, limit), "running attempts hold their places"
+        assert sum(map(self.outstanding, ENTRIES)) <= max(outstanding, limit)
+        for sent in self.sent[len(self.sent) - len(grants) :]:
+            if sent.grant.entry in heard:
+                self.receive(sent)
+
+    def hear(self, heartbeat: tuple[ids.VmId, int, int]) -> None:
+        entry, demand, epoch = heartbeat
+        issued = [sent.grant.epoch for sent in self.sent if sent.grant.entry == entry]
+        if epoch <= max(issued, default=0):
+            self.acknowledged[entry] = max(self.acknowledged[entry], epoch)
+        self.target.hear(self.now_s, entry, demand, epoch)
+
+    def receive(self, sent: _Sent) -> None:
+        grant, held = sent.grant, self.held[sent.grant.entry]
+        if grant.epoch > held.epoch and self.now_s - sent.sent_s > capacity.GRANT_MARGIN_S:
+            self.late_s[grant.entry] = self.now_s
+        held.receive(self.now_s, grant.amount, grant.epoch)
+
+    @stateful.precondition(lambda self: self.heartbeats)
+    @stateful.rule(data=st.data(), foreign=st.sampled_from([0, 0, 1_000]))
+    def deliver_heartbeat_late_or_again(self, data: st.DataObject, foreign: int):
+        entry, demand, epoch = data.draw(st.sampled_from(self.heartbeats[-9:]))
+        self.hear((entry, demand, epoch + foreign))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data())
+    def deliver_grant_late_or_again(self, data: st.DataObject):
+        self.receive(data.draw(st.sampled_from(self.sent[-9:])))
+
+    @stateful.rule(entry=st.sampled_from(ENTRIES), count=st.integers(1, 9))
+    def start(self, entry: ids.VmId, count: int):
+        for _ in range(count):
+            room = sum(self.running.values()) < self.target.limit
+            assert self.target.take(self.now_s, entry) == room, "only the limit decides"
+            self.running[entry] += room
+
+    @stateful.rule(
+        entry=st.sampled_from(ENTRIES), step_s=st.sampled_from([STEP_S / 2, STEP_S * 2, None])
+    )
+    def end(self, entry: ids.VmId, step_s: float | None):
+        for _ in range(self.running[entry]):
+            self.target.release(self.now_s, entry, step_s)
+        self.running[entry] = 0
+
+    @stateful.rule(cause=st.sampled_from(capacity.ColdCause), limit=st.integers(1, 8))
+    def turn_cold(self, cause: capacity.ColdCause, limit: int):
+        self.target.turn_cold(self.now_s, cause)
+        assert self.target.limit == 1
+        for entry in ENTRIES:
+            self.end(entry, None)
+        ramp(self.target, limit)
+
+    @stateful.invariant()
+    def grants_stay_within_the_limit(self):
+        # A fall of the limit holds for a grant once the grant expired, so the bound is the
+        # highest limit that was in force within the lifetime of a grant.
+        self.limits.append((self.now_s, self.target.limit))
+        while len(self.limits) > 1 and self.limits[1][0] <= self.now_s - capacity.GRANT_LIFETIME_S:
+            del self.limits[0]
+        bound = max(limit for _, limit in self.limits)
+        view = self.target.view(self.now_s)
+        assert view.outstanding == sum(map(self.outstanding, ENTRIES)) <= bound
+        assert view.running == sum(self.running.values())
+        timely = [e for e in ENTRIES if self.now_s - self.late_s[e] >= capacity.GRANT_LIFETIME_S]
+        assert sum(self.held[entry].amount(self.now_s) for entry in timely) <= bound
+
+    @stateful.rule()
+    def settle(self):
+        """When the faults and the work end, every entry with demand gets a grant."""
+        for entry in ENTRIES:
+            self.end(entry, None)
+        served: set[ids.VmId] = set()
+        for _ in range(80):
+            self.now_s += 0.1
+            for entry, held in self.held.items():
+                self.hear((entry, 2, held.epoch))
+            for grant in self.target.refresh(self.now_s):
+                self.sent.append(_Sent(grant, self.now_s))
+                self.receive(self.sent[-1])
+                served |= {grant.entry} if grant.amount else set()
+            if served == set(ENTRIES):
+                return
+        raise AssertionError(f"only {served} got a grant")
+
+
+TestCapacityMachine = CapacityMachine.TestCase
--- /dev/null
+++ b/packages/core/tests/test_evacuation.py
@@ -0,0 +1,99 @@
+"""Guards against streams that a planned stop interrupts or pauses without need."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+from gentianpaddle_core import evacuation, ids
+
+PATHS = evacuation.Paths(
+    transfer_bytes_per_s=1e9,
+    transfer_overhead_s=0.1,
+    prefill_tokens_per_s=8_000.0,
+    resume_overhead_s=0.2,
+    targets=2,
+)
+NO_EXPORT = dataclasses.replace(PATHS, transfer_bytes_per_s=None)
+NO_TARGET = dataclasses.replace(PATHS, targets=0)
+
+
+def stream(
+    remaining_s: float = 60.0, tokens: int = 16_000, key: str = "k", **values: object
+) -> evacuation.RemainingStream:
+    usual = evacuation.RemainingStream(ids.RequestKey(key), remaining_s, tokens, 0, 10**9)
+    return dataclasses.replace(usual, **values)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("remaining", "paths", "left_s", "way", "pause_s", "overruns"),
+    [
+        (stream(6.0), PATHS, 10.0, "finish", 0.0, False),
+        (stream(8.0), PATHS, 10.0, "move", 1.1, False),
+        (stream(), NO_EXPORT, 10.0, "resume", 2.2, False),
+        (stream(cached_tokens=15_200), PATHS, 10.0, "resume", 0.3, False),
+        (stream(cached_tokens=99_999), PATHS, 10.0, "resume", 0.2, False),
+        (stream(resumable=False), PATHS, 10.0, "move", 1.1, False),
+        (stream(resumable=False), NO_EXPORT, 10.0, "finish", 0.0, True),
+        (stream(8.0, resumable=False), NO_EXPORT, 10.0, "finish", 0.0, False),
+        (stream(), NO_TARGET, 10.0, "finish", 0.0, True),
+        (stream(), PATHS, 1.0, "resume", 2.2, False),
+        (stream(), PATHS, -5.0, "resume", 2.2, False),
+        (stream(resumable=False), PATHS, 1.0, "move", 1.1, True),
+    ],
+)
+def test_way_of_one_stream(
+    remaining: evacuation.RemainingStream,
+    paths: evacuation.Paths,
+    left_s: float,
+    way: str,
+    pause_s: float,
+    overruns: bool,
+):
+    (choice,) = evacuation.choose(100.0, 100.0 + left_s, (remaining,), paths)
+    assert choice.way == way
+    assert choice.predicted_pause_s == pytest.approx(pause_s)
+    assert choice.overruns == overruns
+
+
+def test_link_time_goes_to_the_streams_that_gain_most():
+    streams = tuple(stream(tokens=8_000 * n, key=f"k{n}") for n in range(2, 12))
+    choices = {c.key: c for c in evacuation.choose(0.0, 5.0, streams, PATHS)}
+    moved = [key for key, choice in choices.items() if choice.way is evacuation.Way.MOVE]
+    assert sorted(moved) == ["k10", "k11", "k8", "k9"]
+
+
+def test_targets_take_streams_at_the_same_time():
+    streams = tuple(stream(key=f"k{n}") for n in range(3))
+    starts = [round(c.start_s, 3) for c in evacuation.choose(0.0, 10.0, streams, NO_EXPORT)]
+    assert starts == [4.6, 6.8, 6.8]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_plan_is_whole_and_changes_do_not_overlap(seed: int):
+    rng = random.Random(seed)
+    paths = rng.choice([PATHS, NO_EXPORT])
+    streams = tuple(
+        stream(rng.uniform(0.1, 90.0), rng.randint(10, 30_000), f"k{n}") for n in range(12)
+    )
+    left_s = rng.choice([2.0, 30.0, 60.0])
+    choices = evacuation.choose(7.0, 7.0 + left_s, streams, paths)
+    assert sorted(c.key for c in choices) == sorted(s.key for s in streams)
+    by_key = {s.key: s for s in streams}
+    stop_s = 7.0 + left_s
+    for way, lanes in ((evacuation.Way.MOVE, 1), (evacuation.Way.RESUME, paths.targets)):
+        duration = evacuation.move_s if way is evacuation.Way.MOVE else evacuation.resume_s
+        spans = []
+        for choice in choices:
+            if choice.way is way:
+                end_s = choice.start_s + choice.predicted_pause_s
+                spans.append((end_s - duration(by_key[choice.key], paths), end_s))
+                assert 7.0 <= choice.start_s <= stop_s
+        for at_s, _ in spans:
+            assert sum(a <= at_s + 1e-9 < b - 1e-9 for a, b in spans) <= lanes
+    for choice in choices:
+        if choice.way is evacuation.Way.FINISH:
+            assert by_key[choice.key].remaining_s <= evacuation.FINISH_SHARE * left_s
+        else:
+            assert choice.overruns is False
--- /dev/null
+++ b/packages/core/tests/test_ledger.py
@@ -0,0 +1,431 @@
+"""Guards against requests that run twice, or run after a proof that they did not."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+from gentianpaddle_core import capacity, ids, ledger
+from hypothesis import stateful
+from hypothesis import strategies as st
+from pytest_benchmark import fixture
+
+E1, E2 = ids.VmId("e1"), ids.VmId("e2")
+OUTCOME = ledger.KeptOutcome(200, "text/plain", b"answer")
+
+
+def new_places(limit: int) -> capacity.Capacity:
+    places = capacity.new_capacity(capacity.CapacitySettings(limit, 1.0, growth=float(limit)))
+    places.take(0.0, E1)
+    places.release(0.0, E1, 0.5)
+    assert places.limit == limit
+    return places
+
+
+def new_ledger(limit: int = 8, **limits: float) -> ledger.AttemptLedger:
+    small = ledger.LedgerLimits(filter_bits=1 << 14, **limits)  # type: ignore[arg-type]
+    return ledger.new_ledger(ids.Incarnation(2), new_places(limit), small)
+
+
+def start(attempt: int = 1, key: str = "k1", **values: object) -> ledger.StartRequest:
+    usual = ledger.StartRequest(
+        entry=E1,
+        key=ids.RequestKey(key),
+        attempt=ids.Attempt(attempt),
+        fingerprint=ids.Fingerprint("f-" + key),
+        expected_incarnation=ids.Incarnation(2),
+        deadline_s=1e6,
+        idempotent=False,
+    )
+    return dataclasses.replace(usual, **values)  # type: ignore[arg-type]
+
+
+def admit(
+    target: ledger.AttemptLedger, request: ledger.StartRequest, now_s: float = 0.0, **values: bool
+) -> str:
+    result = target.admit(now_s, request, ledger.Conditions(**values))
+    if isinstance(result, ledger.Declined):
+        return result.reason
+    return "repeated" if result.repeated else "admitted"
+
+
+def run(
+    target: ledger.AttemptLedger, request: ledger.StartRequest, now_s: float = 0.0
+) -> ledger.Effect:
+    assert admit(target, request, now_s) == "admitted"
+    target.start(now_s, request.key, request.attempt)
+    return target.finish(now_s, request.key, request.attempt, OUTCOME, 0.1)
+
+
+ALL_OUT = {"leaving": True, "data_centre_out": True, "vm_out": True, "quarantined": True}
+
+
+@pytest.mark.parametrize(
+    ("change", "conditions", "reason"),
+    [
+        ({"expected_incarnation": 1, "deadline_s": 0.0}, ALL_OUT, "incarnation"),
+        ({"deadline_s": 0.0}, ALL_OUT, "leaving"),
+        ({"deadline_s": 0.0}, {**ALL_OUT, "leaving": False}, "out"),
+        ({"deadline_s": 0.0}, {"data_centre_out": True}, "out"),
+        ({"deadline_s": 0.0}, {"quarantined": True}, "deadline"),
+        ({"fingerprint": "f-running"}, {"quarantined": True}, "quarantined"),
+        ({"fingerprint": "f-running", "key": "revoked"}, {}, "fingerprint_running"),
+        ({"key": "running", "attempt": 2}, {}, "fingerprint_running"),
+        ({"key": "running", "attempt": 2, "fingerprint": "f-x"}, {}, "fingerprint_running"),
+        ({"key": "revoked"}, {}, "revoked"),
+        ({"key": "revoked", "attempt": 3}, {}, "capacity"),
+        ({"key": "declined"}, {}, "declined_before"),
+        ({"key": "cancelled"}, {}, "declined_before"),
+        ({"key": "cancelled", "entry": E2}, {}, "capacity"),
+        ({"key": "done"}, {}, "stale_attempt"),
+        ({"key": "done", "attempt": 2}, ALL_OUT, "repeated"),
+        ({"key": "done", "attempt": 3}, {}, "key_seen"),
+        ({"key": "done", "attempt": 3, "idempotent": True}, {}, "key_seen"),
+        ({"attempt": 0}, {}, "stale_attempt"),
+        ({"attempt": ledger.MAX_ATTEMPT + 1}, {}, "stale_attempt"),
+        ({}, {}, "capacity"),
+    ],
+)
+def test_first_check_that_fails_decides(
+    change: dict[str, object], conditions: dict[str, bool], reason: str
+):
+    target = new_ledger(limit=1)
+    run(target, start(2, "done"))
+    target.revoke(0.0, ids.RequestKey("revoked"), ids.Attempt(2))
+    target.cancel(0.0, E1, ids.RequestKey("cancelled"), ids.Attempt(1))
+    assert admit(target, start(1, "running")) == "admitted"
+    assert admit(target, start(1, "declined")) == "capacity"
+    assert admit(target, start(**change), **conditions) == reason  # type: ignore[arg-type]
+
+
+def test_decline_holds_when_its_cause_is_gone():
+    target = new_ledger()
+    assert admit(target, start(), leaving=True) == "leaving"
+    assert admit(target, start()) == "declined_before"
+    assert admit(target, start(2)) == "admitted"
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_marks_last_their_time_across_a_rotation(idempotent: bool):
+    target = new_ledger(late_s=100.0)
+    assert admit(target, start(1, "a", idempotent=idempotent), 0.0, leaving=True) == "leaving"
+    assert admit(target, start(1, "b", idempotent=idempotent), 90.0, leaving=True) == "leaving"
+    assert admit(target, start(1, "b", idempotent=idempotent), 189.0) == "declined_before"
+    assert admit(target, start(1, "a", idempotent=idempotent), 301.0) == "admitted"
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("started", [True, False])
+@pytest.mark.parametrize("stop", ["cancel", "revoke", "other_entry"])
+def test_stop_after_admission(stop: str, started: bool, idempotent: bool):
+    target = new_ledger()
+    request = start(idempotent=idempotent)
+    assert admit(target, request) == "admitted"
+    if started:
+        assert target.start(0.0, request.key, request.attempt) is ledger.Effect.APPLIED
+    if stop == "revoke":
+        effect = target.revoke(0.0, request.key, request.attempt)
+    else:
+        entry = E1 if stop == "cancel" else E2
+        effect = target.cancel(0.0, entry, request.key, request.attempt)
+    if stop == "other_entry":
+        assert effect is ledger.StopEffect.MAY_HAVE_RUN
+        assert target.query(0.0, request.key).status is ledger.KeyStatus.RUNNING
+    elif started:
+        assert effect is ledger.StopEffect.RUNNING
+    else:
+        assert effect is ledger.StopEffect.NOT_RUN
+        assert target.start(0.0, request.key, request.attempt) is ledger.Effect.IGNORED
+        assert target.query(0.0, request.key).status is ledger.KeyStatus.NOT_RUN
+        assert admit(target, start(2, idempotent=idempotent)) == "admitted"
+
+
+def test_attempt_that_may_have_run_is_never_proven_not_run():
+    target = new_ledger()
+    request = start(1, idempotent=True)
+    assert admit(target, request) == "admitted"
+    target.start(0.0, request.key, request.attempt)
+    target.fail(0.0, request.key, request.attempt, may_have_run=True)
+    assert run(target, start(2, idempotent=True)) is ledger.Effect.APPLIED
+    assert admit(target, request) == "repeated"
+    assert target.cancel(0.0, E1, request.key, request.attempt) is ledger.StopEffect.MAY_HAVE_RUN
+    assert target.revoke(0.0, request.key, request.attempt) is ledger.StopEffect.MAY_HAVE_RUN
+
+
+def test_late_older_attempt_does_not_hide_that_a_newer_one_ran():
+    target = new_ledger(kept_s=5.0)
+    run(target, start(2, idempotent=True))
+    assert admit(target, start(1, idempotent=True), 6.0) == "admitted"
+    assert admit(target, start(2, idempotent=True), 6.0) == "repeated"
+    target.fail(6.0, ids.RequestKey("k1"), ids.Attempt(1), may_have_run=False)
+    assert target.query(6.0, ids.RequestKey("k1")).status is ledger.KeyStatus.FAILED
+
+
+def test_dropped_key_never_runs_again_within_the_retention_time():
+    target = new_ledger(kept_outcomes=1, retention_s=800.0, late_s=800.0)
+    for key in ("a", "b", "c"):
+        run(target, start(1, key))
+    target.admit(1.0, start(1, "i", idempotent=True), ledger.Conditions())
+    target.fail(1.0, ids.RequestKey("i"), ids.Attempt(1), may_have_run=False)
+    assert target.query(1.0, ids.RequestKey("a")).status is ledger.KeyStatus.DROPPED
+    run(target, start(1, "j", idempotent=True), 1.0)
+    run(target, start(1, "d"), 1.0)
+    assert admit(target, start(1, "a"), 799.0, leaving=True) == "repeated"
+    assert admit(target, start(1, "j", idempotent=True), 799.0) == "repeated"
+    assert admit(target, start(2, "a"), 799.0) == "key_seen"
+    assert admit(target, start(1, "i", idempotent=True), 799.0) == "declined_before"
+    assert admit(target, start(2, "a"), 5_000.0) == "admitted"
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_full_tombstones_decline_rather_than_forget(idempotent: bool):
+    target = new_ledger(kept_outcomes=1, tombstones=3)
+    for key in ("a", "b", "c"):
+        run(target, start(1, key))
+    expected = "admitted" if idempotent else "tombstones_full"
+    assert admit(target, start(1, "d", idempotent=idempotent)) == expected
+    assert admit(target, start(2, "a")) == "key_seen"
+
+
+@pytest.mark.parametrize(
+    ("limits", "kept"),
+    [({"kept_outcomes": 2}, 2), ({"kept_bytes": 18}, 3), ({"kept_bytes": 5}, 6), ({}, 6)],
+)
+def test_kept_outcomes_are_bounded(limits: dict[str, float], kept: int):
+    target = new_ledger(**limits)
+    keys = [ids.RequestKey(f"k{n}") for n in range(6)]
+    for key in keys:
+        assert run(target, start(1, key)) is ledger.Effect.APPLIED
+    states = [target.query(0.0, key) for key in keys]
+    assert [s.status for s in states].count(ledger.KeyStatus.DONE) == kept
+    bodies = [s.outcome.body for s in states if s.outcome and s.outcome.body is not None]
+    assert sum(map(len, bodies)) <= limits.get("kept_bytes", 1e9)
+    late = target.query(ledger.LedgerLimits().kept_s, keys[-1])
+    assert late.status is ledger.KeyStatus.DROPPED
+
+
+@pytest.mark.parametrize("limit", [64, 1])
+def test_admission_cost(benchmark: fixture.BenchmarkFixture, limit: int):
+    """Measures one decision; with a limit of 1 nearly all attempts are declined."""
+    target = new_ledger(limit)
+    requests = iter([start(1, f"organisation/{n:032d}") for n in range(60_000)])
+    conditions = ledger.Conditions()
+
+    def decide() -> None:
+        request = next(requests)
+        target.admit(0.0, request, conditions)
+
+    def clear() -> None:
+        for running in target.running()[: limit - 1]:
+            target.fail(0.0, running.key, running.attempt, may_have_run=False)
+
+    benchmark.pedantic(decide, setup=clear, rounds=20_000)
+
+
+KEYS = tuple(ids.RequestKey(f"k{n}") for n in range(4))
+IDEMPOTENT = frozenset(KEYS[:2])
+
+
+@dataclasses.dataclass(frozen=True)
+class _Stop:
+    kind: str
+    entry: ids.VmId
+    key: ids.RequestKey
+    attempt: ids.Attempt
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """Messages are late, lost, doubled and crossed; the agent restarts at any step.
+
+    The time that passes stays below the retention times, so every proof must hold to the end.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.incarnation = 1
+        self.attempts: dict[tuple[ids.VmId, ids.RequestKey], int] = {}
+        self.messages: list[ledger.StartRequest | _Stop] = []
+        self.begin(2)
+
+    @stateful.rule(limit=st.sampled_from([0, 0, 0, 0, 1, 2]))
+    def restart(self, limit: int):
+        if limit:
+            self.begin(limit)
+
+    def begin(self, limit: int) -> None:
+        self.incarnation += 1
+        self.places = new_places(limit)
+        limits = ledger.LedgerLimits(
+            kept_outcomes=2, kept_bytes=8, kept_s=5.0, tombstones=2, filter_bits=1 << 14
+        )
+        self.target = ledger.new_ledger(ids.Incarnation(self.incarnation), self.places, limits)
+        self.ran: list[tuple[ids.VmId, ids.RequestKey, ids.Attempt]] = []
+        self.proven: set[tuple[ids.VmId, ids.RequestKey, ids.Attempt]] = set()
+        self.conditions = ledger.Conditions()
+        self.waiting: list[ledger.StartRequest] = []
+        self.running: list[ledger.StartRequest] = []
+
+    @stateful.rule(
+        entry=st.sampled_from([E1, E2]),
+        key=st.sampled_from(KEYS),
+        behind=st.sampled_from([0, 0, 0, 1]),
+        copies=st.integers(0, 2),
+        follows=st.sampled_from(["wait", "run", "run", "end", "fail"]),
+    )
+    def send_start(
+        self, entry: ids.VmId, key: ids.RequestKey, behind: int, copies: int, follows: str
+    ):
+        number = self.attempts[entry, key] = self.attempts.get((entry, key), 0) + 1
+        request = start(
+            number,
+            key,
+            entry=entry,
+            expected_incarnation=self.incarnation - behind,
+            idempotent=key in IDEMPOTENT,
+        )
+        self.messages.append(request)
+        for _ in range(copies):
+            self.receive(request)
+            if follows != "wait":
+                self.start_at_backend_server(True)
+        while follows in ("end", "fail") and self.running:
+            self.end(follows == "fail", 3, 1)
+
+    @stateful.precondition(lambda self: self.messages)
+    @stateful.rule(
+        kind=st.sampled_from(["cancel", "revoke"]),
+        recent=st.integers(1, 9),
+        copies=st.integers(0, 1),
+    )
+    def send_stop(self, kind: str, recent: int, copies: int):
+        target = self.messages[-min(recent, len(self.messages))]
+        message = _Stop(kind, target.entry, target.key, target.attempt)
+        self.messages.append(message)
+        for _ in range(copies):
+            self.receive(message)
+
+    @stateful.precondition(lambda self: self.messages)
+    @stateful.rule(recent=st.integers(1, 9), runs=st.booleans())
+    def deliver_late_or_again(self, recent: int, runs: bool):
+        self.receive(self.messages[-min(recent, len(self.messages))])
+        if runs:
+            self.start_at_backend_server(True)
+
+    @stateful.rule(seed=st.integers(0, 2**32), actions=st.integers(1, 60))
+    def storm(self, seed: int, actions: int):
+        """Take many steps at once; single rules alone reach few states with two faults."""
+        rng = random.Random(seed)
+        for _ in range(actions):
+            step = rng.randrange(20)
+            if step < 6:
+                follows = rng.choice(["wait", "run", "run", "end", "fail"])
+                entry, key = rng.choice([E1, E2]), rng.choice(KEYS)
+                self.send_start(entry, key, rng.random() < 0.1, rng.randrange(3), follows)
+            elif step < 12 and self.messages:
+                self.deliver_late_or_again(rng.randint(1, 9), rng.random() < 0.7)
+            elif step < 15 and self.messages:
+                self.send_stop(
+                    rng.choice(["cancel", "revoke"]), rng.randint(1, 9), rng.randrange(2)
+                )
+            elif step < 16:
+                self.change_conditions(rng.choice(["", "", "leaving", "vm_out"]))
+            elif step < 17:
+                self.start_at_backend_server(rng.random() < 0.5)
+            elif step < 18 and self.running:
+                self.end(rng.random() < 0.5, rng.randrange(9), rng.randint(1, 2))
+            elif step < 19:
+                self.pass_time(rng.choice([0.1, 3.0, 6.0]))
+            else:
+                self.restart(rng.choice([0, 0, 1, 2]))
+            self.promises_hold()
+
+    @stateful.rule(condition=st.sampled_from(["", "", "leaving", "vm_out"]))
+    def change_conditions(self, condition: str):
+        self.conditions = ledger.Conditions(**{condition: True} if condition else {})
+
+    def receive(self, message: ledger.StartRequest | _Stop) -> None:
+        if isinstance(message, _Stop):
+            self.stop(message)
+            return
+        result = self.target.admit(self.now_s, message, self.conditions)
+        if isinstance(result, ledger.Declined):
+            self.proven.add((message.entry, message.key, message.attempt))
+        elif not result.repeated:
+            assert message.expected_incarnation == self.incarnation
+            assert self.conditions == ledger.Conditions()
+            self.waiting.append(message)
+
+    def stop(self, message: _Stop) -> None:
+        covered = [(message.entry, message.key, message.attempt)]
+        if message.kind == "cancel":
+            effect = self.target.cancel(self.now_s, message.entry, message.key, message.attempt)
+        else:
+            effect = self.target.revoke(self.now_s, message.key, message.attempt)
+            numbers = range(1, message.attempt + 1)
+            covered = [(e, message.key, ids.Attempt(n)) for e in (E1, E2) for n in numbers]
+        if effect is ledger.StopEffect.NOT_RUN:
+            self.proven.update(covered)
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(accepts=st.sampled_from([True, True, False]))
+    def start_at_backend_server(self, accepts: bool):
+        while self.waiting:
+            request = self.waiting.pop(0)
+            key, attempt = request.key, request.attempt
+            if self.target.start(self.now_s, key, attempt) is not ledger.Effect.APPLIED:
+                continue
+            assert self.target.start(self.now_s, key, attempt) is ledger.Effect.IGNORED
+            if accepts:
+                self.ran.append((request.entry, key, attempt))
+                self.running.append(request)
+            else:
+                self.proven.add((request.entry, key, attempt))
+                self.target.fail(self.now_s, key, attempt, may_have_run=False)
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(fails=st.booleans(), size=st.integers(0, 9), repeats=st.integers(1, 2))
+    def end(self, fails: bool, size: int, repeats: int):
+        request = self.running.pop(0)
+        key, attempt = request.key, request.attempt
+        for repeat in range(repeats):
+            if fails:
+                effect = self.target.fail(self.now_s, key, attempt, may_have_run=True)
+            else:
+                body = f"{attempt}".encode() * size
+                outcome = ledger.KeptOutcome(200, key, body)
+                effect = self.target.finish(self.now_s, key, attempt, outcome, 0.1)
+            assert (effect is ledger.Effect.APPLIED) == (repeat == 0)
+
+    @stateful.rule(key=st.sampled_from(KEYS), attempt=st.integers(1, 4))
+    def report_about_no_running_attempt(self, key: ids.RequestKey, attempt: int):
+        if all((r.key, r.attempt) != (key, attempt) for r in [*self.running, *self.waiting]):
+            number = ids.Attempt(attempt)
+            results = [
+                self.target.start(self.now_s, key, number),
+                self.target.finish(self.now_s, key, number, OUTCOME, 0.1),
+                self.target.fail(self.now_s, key, number, may_have_run=False),
+            ]
+            assert set(results) == {ledger.Effect.IGNORED}
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 3.0, 6.0]))
+    def pass_time(self, seconds: float):
+        self.now_s += seconds
+
+    @stateful.invariant()
+    def promises_hold(self):
+        for key in KEYS:
+            runs = [run for run in self.ran if run[1] == key]
+            assert key in IDEMPOTENT or len(runs) <= 1, "a non-idempotent key ran twice"
+            state = self.target.query(self.now_s, key)
+            assert state.outcome is None or state.outcome.content_type == key
+            assert state.status is not ledger.KeyStatus.NOT_RUN or not runs
+        assert not self.proven & set(self.ran), "an attempt ran that was proven not run"
+        admitted = self.target.running()
+        assert len(admitted) == self.places.running <= self.places.limit
+        assert {(r.key, r.attempt) for r in self.running} <= {(a.key, a.attempt) for a in admitted}
+        assert len({a.fingerprint for a in admitted}) == len(admitted)
+
+
+TestLedgerMachine = LedgerMachine.TestCase
