Add the quarantine of requests that crash backend servers

Cause: a request that crashes each backend server that runs it, and is sent again by its caller, would take down one server after another; a request that only stood beside must not be refused for it. Change: Quarantine keeps one record a crash with the fingerprints in progress and those that completed since. Records only grow, so merges are commutative and idempotent. One crash makes a suspect that runs only where no other suspect runs, two make a refusal.

--- /dev/null
+++ b/packages/core/tests/test_quarantine.py
@@ -0,0 +1,219 @@
+"""Guards against a request that takes down one server after another, and against false refusal."""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+
+import pytest
+from gentianpaddle_core import ids, quarantine
+from hypothesis import given, strategies
+
+P, X, Y = (ids.Fingerprint(name) for name in "pxy")
+ALLOW, ISOLATED, REFUSE = quarantine.Allow(), quarantine.AllowIsolated(), quarantine.Refuse(2)
+CANDIDATES = 16
+ENTRIES = 8
+
+
+def decisions(state: quarantine.Quarantine, now_s: float = 0.0) -> list[quarantine.Decision]:
+    return [state.decide(fingerprint, now_s) for fingerprint in (P, X, Y)]
+
+
+@pytest.mark.parametrize(
+    ("crashes", "completed", "expected"),
+    [
+        ([], "", [ALLOW, ALLOW, ALLOW]),
+        (["p"], "", [ISOLATED, ALLOW, ALLOW]),
+        (["px"], "", [ISOLATED, ISOLATED, ALLOW]),
+        (["px"], "x", [ISOLATED, ALLOW, ALLOW]),
+        (["px", "py"], "", [REFUSE, ALLOW, ALLOW]),
+        (["px", "p", "xy"], "", [REFUSE, ISOLATED, ISOLATED]),
+        (["px", "px"], "", [REFUSE, REFUSE, ALLOW]),
+        (["px", "px", "p"], "", [quarantine.Refuse(3), ALLOW, ALLOW]),
+        (["px", "px"], "x", [REFUSE, ALLOW, ALLOW]),
+        (["p", "p"], "p", [ALLOW, ALLOW, ALLOW]),
+    ],
+)
+def test_decision_follows_from_crashes_and_completions(
+    crashes: list[str], completed: str, expected: list[quarantine.Decision]
+):
+    state = quarantine.new_quarantine()
+    for number, in_progress in enumerate(crashes):
+        state.crashed(f"c{number}", map(ids.Fingerprint, in_progress), 0.0)
+    for fingerprint in completed:
+        state.completed(ids.Fingerprint(fingerprint), 0.0)
+    assert decisions(state) == expected
+    assert decisions(state, quarantine.RECORD_AGE_S) == [ALLOW, ALLOW, ALLOW]
+
+
+@pytest.mark.parametrize(
+    ("fingerprint", "running", "expected"),
+    [
+        (P, "xz", quarantine.Decline(quarantine.WaitReason.SUSPECT_RUNNING)),
+        (P, "z", ISOLATED),
+        (P, "pz", quarantine.Decline(quarantine.WaitReason.COPY_RUNNING)),
+        (ids.Fingerprint("z"), "px", ALLOW),
+        (ids.Fingerprint("z"), "z", quarantine.Decline(quarantine.WaitReason.COPY_RUNNING)),
+        (Y, "", REFUSE),
+    ],
+)
+def test_suspects_and_copies_do_not_run_together(
+    fingerprint: ids.Fingerprint, running: str, expected: quarantine.Decision
+):
+    state = quarantine.new_quarantine()
+    for crash_id, in_progress in (("1", (P, X)), ("2", (Y,)), ("3", (Y,))):
+        state.crashed(crash_id, in_progress, 0.0)
+    assert state.admit(fingerprint, list(map(ids.Fingerprint, running)), 0.0) == expected
+
+
+def test_state_is_bounded():
+    state = quarantine.new_quarantine(records_limit=10)
+    many = [ids.Fingerprint(f"f{number:04d}") for number in range(1_000)]
+    for number in range(100):
+        state.crashed(f"c{number}", many, float(number))
+    kept = state.records(100.0)
+    assert [record.crash_id for record in kept] == [f"c{99 - number}" for number in range(10)]
+    assert {len(record.fingerprints) for record in kept} == {quarantine.FINGERPRINTS_LIMIT}
+
+
+SETS = strategies.frozensets(strategies.sampled_from([P, X, Y]))
+RECORDS = strategies.lists(
+    strategies.builds(
+        quarantine.CrashRecord,
+        strategies.sampled_from(["1", "2", "3", "4"]),
+        SETS,
+        SETS,
+        strategies.sampled_from([0.0, 10.0, 3_599.0, 3_600.0]),
+    ),
+    max_size=8,
+)
+
+
+@given(RECORDS, strategies.randoms(use_true_random=False))
+def test_merging_is_commutative_and_idempotent(
+    records: list[quarantine.CrashRecord], source: random.Random
+):
+    # A record never clears what it does not name.
+    records = [
+        quarantine.CrashRecord(r.crash_id, r.fingerprints, r.cleared & r.fingerprints, r.age_s)
+        for r in records
+    ]
+    first, second = quarantine.new_quarantine(), quarantine.new_quarantine()
+    first.merge(records, 0.0)
+    for record in source.sample(records * 2, len(records) * 2):
+        second.merge((record,), 0.0)
+    assert first.records(0.0) == second.records(0.0)
+    assert decisions(first) == decisions(second)
+    assert not first.merge(second.records(0.0), 0.0)
+
+
+class Fleet:
+    """Servers with agents, entries that resend at once, and delayed news, in virtual time."""
+
+    def __init__(self, seed: int, news_delay_s: float, poisons: int, bystanders: int) -> None:
+        self.random = random.Random(seed)
+        self.news_delay_s = news_delay_s
+        self.poisons = {ids.Fingerprint(f"poison{number}") for number in range(poisons)}
+        self.requests = [
+            *self.poisons,
+            *(ids.Fingerprint(f"good{number}") for number in range(bystanders)),
+        ]
+        self.by_entry = [quarantine.new_quarantine() for _ in range(ENTRIES)]
+        self.by_server = [quarantine.new_quarantine() for _ in range(64)]
+        self.running: list[dict[ids.Fingerprint, int]] = [{} for _ in self.by_server]
+        self.incarnations = [0] * len(self.by_server)
+        self.events: list[tuple[float, int, tuple[object, ...]]] = []
+        self.order = itertools.count()
+        self.servers_down_by_fingerprint: collections.defaultdict[str, set[int]] = (
+            collections.defaultdict(set)
+        )
+        self.refused: set[ids.Fingerprint] = set()
+        self.done: set[tuple[int, ids.Fingerprint]] = set()
+
+    def at(self, time_s: float, *event: object) -> None:
+        heapq.heappush(self.events, (time_s, next(self.order), event))
+
+    def run(self) -> None:
+        for entry in range(ENTRIES):
+            for fingerprint in self.requests:
+                self.at(0.0, "send", entry, fingerprint)
+        while self.events and self.events[0][0] < 60.0:
+            time_s, _, (kind, *rest) = heapq.heappop(self.events)
+            getattr(self, f"_{kind}")(time_s, *rest)
+
+    def _send(self, now_s: float, entry: int, fingerprint: ids.Fingerprint) -> None:
+        if isinstance(self.by_entry[entry].decide(fingerprint, now_s), quarantine.Refuse):
+            self.refused.add(fingerprint)
+            return
+        # The sample of servers is seeded by the fingerprint, equally at every entry.
+        servers = range(len(self.by_server))
+        server = self.random.choice(random.Random(str(fingerprint)).sample(servers, CANDIDATES))
+        decision = self.by_server[server].admit(fingerprint, self.running[server], now_s)
+        if isinstance(decision, quarantine.Refuse):
+            self.refused.add(fingerprint)
+        elif isinstance(decision, quarantine.Decline):
+            self.at(now_s + 0.05, "send", entry, fingerprint)
+        else:
+            self.running[server][fingerprint] = entry
+            length_s = 0.05 if fingerprint in self.poisons else self.random.uniform(0.1, 0.6)
+            self.at(now_s + length_s, "end", server, fingerprint, self.incarnations[server])
+
+    def _end(
+        self, now_s: float, server: int, fingerprint: ids.Fingerprint, incarnation: int
+    ) -> None:
+        if incarnation != self.incarnations[server]:
+            return
+        if fingerprint not in self.poisons:
+            entry = self.running[server].pop(fingerprint)
+            self.done.add((entry, fingerprint))
+            if self.by_server[server].completed(fingerprint, now_s):
+                self._spread(now_s, server)
+            return
+        self.servers_down_by_fingerprint[fingerprint].add(server)
+        interrupted, self.running[server] = self.running[server], {}
+        self.incarnations[server] += 1
+        self.by_server[server].crashed(f"{server}/{incarnation}", interrupted, now_s)
+        self._spread(now_s, server)
+        for other, entry in interrupted.items():
+            self.at(now_s + 0.01, "send", entry, other)
+
+    def _spread(self, now_s: float, server: int) -> None:
+        records = self.by_server[server].records(now_s)
+        for target in (*self.by_entry, *self.by_server):
+            delay_s = self.random.uniform(0.0, self.news_delay_s)
+            self.at(now_s + delay_s, "news", target, records)
+
+    def _news(
+        self,
+        now_s: float,
+        target: quarantine.Quarantine,
+        records: tuple[quarantine.CrashRecord, ...],
+    ) -> None:
+        target.merge(records, now_s)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("news_delay_s", [0.0, 0.5, 3.0, 30.0])
+def test_one_request_sent_at_once_reaches_only_its_candidates(news_delay_s: float, seed: int):
+    fleet = Fleet(seed, news_delay_s, poisons=1, bystanders=0)
+    fleet.run()
+    (down,) = fleet.servers_down_by_fingerprint.values()
+    assert len(down) <= CANDIDATES
+    # Without delay only the copies that are already running crash their servers.
+    if not news_delay_s:
+        assert len(down) <= ENTRIES
+    assert fleet.refused == fleet.poisons
+
+
+@pytest.mark.parametrize("poisons", [1, 4])
+@pytest.mark.parametrize("seed", range(2))
+def test_request_that_stood_beside_completes(seed: int, poisons: int):
+    fleet = Fleet(seed, 0.5, poisons, bystanders=24)
+    fleet.run()
+    good = set(fleet.requests) - fleet.poisons
+    assert fleet.done >= {(entry, f) for entry in range(ENTRIES) for f in good - fleet.refused}
+    for state in (*fleet.by_entry, *fleet.by_server):
+        assert all(state.decide(f, 60.0) == ALLOW for f in good)
+        assert all(isinstance(state.decide(f, 60.0), quarantine.Refuse) for f in fleet.poisons)
