Keep a margin to the target between tokens

Cause: with a slow server of factor 1.5 or 5, requests went there with a prediction just within the target, and what other entries sent before the next report pushed them over it. Change: a prediction may take 0.9 of the target between tokens, and counts the larger of the smoothed and the last reported load of others.

--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -18,6 +18,9 @@
 """Servers weighed in one decision."""
 RETRY_WAIT_S = 0.05
 """Wait before the next look when no event is known that frees capacity."""
+GAP_MARGIN = 0.9
+"""Part of the target between tokens that a prediction may take. Other entries send to the same
+server before the next report, and a request meets what is sent after it."""
 NO_SERVER_RETRY_AFTER_S = 2.0
 """Advice to callers while no server of a model is available."""
 
@@ -385,7 +388,7 @@
             uncached = max(1.0, request.prompt_tokens - cached.get(server, 0.0))
             first_token_s = score.first_token_s(uncached, now_s)
             gap_s = score.gap_s(now_s)
-            misses = first_token_s > first_target_s or gap_s > gap_target_s
+            misses = first_token_s > first_target_s or gap_s > GAP_MARGIN * gap_target_s
             cost = (
                 first_token_s / target.first_token_s
                 + gap_s / gap_target_s
@@ -416,7 +419,7 @@
         for server in ring.candidates(request.fingerprint, CANDIDATES_LIMIT):
             score = ring.item_by_id[server].score
             full = score.room <= 0 < score.load.limit and server not in request.tried
-            if full and score.gap_s(now_s) <= gap_target_s:
+            if full and score.gap_s(now_s) <= GAP_MARGIN * gap_target_s:
                 return True
         return False
 
--- a/packages/core/src/gentianpaddle_core/scoring.py
+++ b/packages/core/src/gentianpaddle_core/scoring.py
@@ -154,6 +154,7 @@
         "_gap_ratio",
         "_lines",
         "_other_running",
+        "_other_running_then",
         "_other_tokens",
         "_own_tokens",
         "_round_trip_s",
@@ -173,6 +174,7 @@
         self._sent_by_attempt: dict[tuple[ids.RequestKey, int], _Sent] = {}
         self._own_tokens = 0.0
         self._other_running = 0.0
+        self._other_running_then = 0.0
         self._other_tokens = 0.0
         self._service_s = 1.0
         self._events: collections.deque[tuple[float, int, float]] = collections.deque(
@@ -210,6 +212,7 @@
         later_tokens = sum(event[2] for event in self._events)
         weight = OTHERS_WEIGHT if self.reported_s >= 0 else 1.0
         running = load.running - (self.outstanding - later_running)
+        self._other_running_then = float(running)
         self._other_running += weight * (running - self._other_running)
         tokens = load.waiting_tokens - (self._own_tokens - later_tokens)
         self._other_tokens += weight * (tokens - self._other_tokens)
@@ -241,7 +244,8 @@
 
     def gap_s(self, now_s: float) -> float:
         """Expected seconds between tokens of a request that would be sent now."""
-        running = max(0.0, self._other_running) + len(self._sent_by_attempt) + 1
+        others = max(0.0, self._other_running, self._other_running_then)
+        running = others + len(self._sent_by_attempt) + 1
         return self._lines.gap.at(running) * self._gap_ratio.at(now_s)
 
     def work_s(self, uncached_tokens: float) -> float:
