--- /dev/null
+++ b/packages/core/tests/test_scoring.py
@@ -0,0 +1,69 @@
+"""Guards against predictions that ignore own requests, drift away or ban a server for ever."""
+
+from __future__ import annotations
+
+import pytest
+from gentianpaddle_core import ids, scoring
+
+LOAD = scoring.Load(limit=16, running=4, waiting_tokens=1_000, grant=8, step_time_s=0.0)
+
+
+def new_score(one_way_s: float = 0.0) -> scoring.ServerScore:
+    return scoring.new_server_score(scoring.new_model_lines(), one_way_s)
+
+
+def attempt(number: int) -> tuple[ids.RequestKey, int]:
+    return ids.RequestKey(str(number)), 1
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "reported_s", "expected"),
+    [
+        # Sent before the report was taken: contained in it, so counted once.
+        (0.1, 0.5, 1_000.0),
+        # Sent after it was taken: comes on top of it.
+        (0.48, 0.5, 1_400.0),
+    ],
+)
+def test_own_requests_count_once(sent_s: float, reported_s: float, expected: float):
+    score = new_score()
+    score.sent(attempt(1), 400.0, sent_s)
+    score.report(LOAD, reported_s)
+    ahead = expected + 100.0
+    assert score.first_token_s(100.0, reported_s) == pytest.approx(0.02 + ahead / 8_000, rel=1e-3)
+
+
+def test_excess_over_the_limit_and_distance_cost_time():
+    near, far, full = new_score(), new_score(0.02), new_score()
+    for score, running in ((near, 4), (far, 4), (full, 32)):
+        score.report(scoring.Load(16, running, 1_000, 8, 0.0), 0.0)
+    expected = near.first_token_s(100.0, 0.1)
+    assert far.first_token_s(100.0, 0.1) == pytest.approx(expected + 0.04)
+    # 17 requests too many at one service time, 1 s at first, per 16 places.
+    assert full.first_token_s(100.0, 0.1) == pytest.approx(expected + 17 / 16)
+
+
+@pytest.mark.parametrize("factor", [0.5, 3.0])
+def test_learns_a_slow_or_fast_server_and_forgets(factor: float):
+    score = new_score()
+    score.report(LOAD, 0.0)
+    expected = score.first_token_s(400.0, 0.0)
+    for number in range(40):
+        score.sent(attempt(number), 400.0, 0.1)
+        score.first_token(attempt(number), 0.1 + expected * factor)
+        score.finished(attempt(number), None, 0.2 + expected * factor)
+    learned = score.first_token_s(400.0, 1.0)
+    assert learned / expected == pytest.approx(factor, rel=0.25)
+    later = score.first_token_s(400.0, 1_000.0)
+    assert abs(later - expected) < abs(learned - expected)
+
+
+def test_lines_follow_observations_and_stay_non_negative():
+    line = scoring.Line(intercept=1.0, slope=1.0, typical_x=10.0)
+    for number in range(3_000):
+        line.observe(number % 20, 2.0 + 0.5 * (number % 20))
+    assert line.at(10.0) == pytest.approx(7.0, rel=0.02)
+    for number in range(3_000):
+        line.observe(number % 20, 20.0 - number % 20)
+    assert line.slope >= 0.0
+    assert line.intercept >= 0.0
