Check expert placement against the bounds

Cause: the skew and byte targets were measured but not checked.

The case of 32 ranks with spare memory of a quarter misses the bound and is listed in KNOWN-RED.txt. Exchanges of experts between full ranks were tried and taken out again.

Conclusion: the target holds at 8 and 16 ranks, and at 32 with a spare expert a layer and rank.

--- a/benchmarks/expert_placement.py
+++ b/benchmarks/expert_placement.py
@@ -20,7 +20,6 @@
 PERIODS = 40
 TOKENS_PER_RANK = 200_000
 EXPERT_BYTES = 44_000_000
-SPARE_MEMORY = 0.25
 STORE_BYTES_S = 1e9 * LAYERS / 61
 """A store rate of 1 GB/s for a model of 61 layers."""
 
@@ -28,7 +27,10 @@
 SLOW_RATE = 0.7
 SLOW_FROM = 15
 DAWN = range(10, 30)
-SIZES = (8, 16, 32)
+CASES = ((8, 0.25), (16, 0.25), (32, 0.25), (32, 0.5))
+"""Ranks, and spare memory as a share of the memory that holds every expert once. At 32 ranks a half
+is one spare expert a layer and rank."""
+
 SEED = 7
 
 
@@ -120,20 +122,21 @@
 SCENARIOS = {"dawn_rush": dawn_rush, "steady_drift": steady_drift}
 
 
-def run(scenario: str, policy: str, ranks: int, seed: int = SEED) -> Result:
+def run(scenario: str, policy: str, ranks: int, spare: float, seed: int = SEED) -> Result:
     """Run one policy.
 
     Args:
         scenario: Key of `SCENARIOS`.
         policy: Key of `POLICIES`.
         ranks: Size of the group.
+        spare: Spare memory as a share of the memory that holds every expert once.
         seed: Seed of the popularity.
 
     Returns:
         Skew and moved bytes.
     """
     rng = random.Random(seed)
-    group = new_group(ranks)
+    group = new_group(ranks, spare)
     popularity = expert_popularity.new_popularity(LAYERS, EXPERTS)
     expert_map: expert_placement.ExpertMap | None = None
     measured = DAWN if scenario == "dawn_rush" else range(1, PERIODS)
@@ -155,16 +158,17 @@
     return Result(sum(skews) / len(skews), max(skews), moved_bytes)
 
 
-def new_group(ranks: int) -> expert_placement.Group:
-    """Create a healthy group with spare memory for a quarter of its experts.
+def new_group(ranks: int, spare: float) -> expert_placement.Group:
+    """Create a healthy group.
 
     Args:
         ranks: Size of the group.
+        spare: Spare memory as a share of the memory that holds every expert once.
 
     Returns:
         The group.
     """
-    slots = round(EXPERTS * LAYERS / ranks * (1.0 + SPARE_MEMORY))
+    slots = round(EXPERTS * LAYERS / ranks * (1.0 + spare))
     return expert_placement.Group(
         rates=(1.0,) * ranks,
         memory_bytes=(slots * EXPERT_BYTES,) * ranks,
@@ -177,16 +181,17 @@
 def main() -> None:
     """Print all figures."""
     print(
-        f"{'scenario':14}{'ranks':>6} {'policy':12}{'mean':>8}{'worst':>8}{'GB':>9}{'of full':>9}"
+        f"{'scenario':14}{'ranks':>6}{'spare':>7} {'policy':12}"
+        f"{'mean':>8}{'worst':>8}{'GB':>9}{'of full':>9}"
     )
     for scenario in SCENARIOS:
-        for ranks in SIZES:
+        for ranks, spare in CASES:
             reference = 0
             for policy in ("full", "never", "incremental"):
-                result = run(scenario, policy, ranks)
+                result = run(scenario, policy, ranks, spare)
                 reference = reference or result.moved_bytes
                 print(
-                    f"{scenario:14}{ranks:6} {policy:12}{result.mean_skew:8.3f}"
+                    f"{scenario:14}{ranks:6}{spare:7.2f} {policy:12}{result.mean_skew:8.3f}"
                     f"{result.worst_skew:8.3f}{result.moved_bytes / 1e9:9.1f}"
                     f"{result.moved_bytes / reference:9.3f}"
                 )
--- /dev/null
+++ b/tests/test_benchmark_placement.py
@@ -0,0 +1,38 @@
+"""Guards the placement benchmarks against results outside the bounds of the stated targets."""
+
+from __future__ import annotations
+
+import functools
+import pathlib
+import tomllib
+
+import pytest
+
+from benchmarks import expert_placement
+
+BOUNDS = tomllib.loads(
+    (pathlib.Path(__file__).parent.parent / "benchmarks" / "bounds.toml").read_text()
+)
+
+TIGHT_MEMORY = pytest.param(
+    32, 0.25, marks=pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 5")
+)
+
+
+@functools.cache
+def run(policy: str, ranks: int, spare: float) -> expert_placement.Result:
+    return expert_placement.run("dawn_rush", policy, ranks, spare)
+
+
+@pytest.mark.parametrize(("ranks", "spare"), [(8, 0.25), (16, 0.25), TIGHT_MEMORY, (32, 0.5)])
+def test_skew_of_the_dawn_rush(ranks: int, spare: float):
+    result = run("incremental", ranks, spare)
+    assert result.mean_skew <= BOUNDS["expert_placement"]["skew"]
+
+
+@pytest.mark.parametrize(("ranks", "spare"), expert_placement.CASES)
+def test_bytes_of_the_dawn_rush(ranks: int, spare: float):
+    full = run("full", ranks, spare)
+    result = run("incremental", ranks, spare)
+    share = result.moved_bytes / full.moved_bytes
+    assert 0.0 < share <= BOUNDS["expert_placement"]["bytes_share"]
