Add model placement and the ramp of new versions

Change: orders only for a shortage; servers that hold weights on standby take a role without a load; weights needed within the last 30 minutes stay in memory; a server whose model is not needed goes on standby where only its memory makes room. A ramp gives the new version the share that its servers can carry, and gives all back at once when it fails.

--- /dev/null
+++ b/packages/core/tests/test_model_placement.py
@@ -0,0 +1,177 @@
+"""Guards against orders that exceed memory, leave a class short, or make weights go to and fro."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import hypothesis
+import pytest
+from gentianpaddle_core import ids, model_placement, version_ramp
+from hypothesis import strategies
+
+Role = model_placement.Role
+A, A2, B, C = (
+    model_placement.WeightsId(ids.ModelName(name), version)
+    for name, version in (("a", "1"), ("a", "2"), ("b", "1"), ("c", "1"))
+)
+ADAPTER = model_placement.WeightsId(ids.ModelName("a"), "1", "tone")
+SIZES = {A: 40, A2: 40, B: 40, C: 70, ADAPTER: 5}
+Picture = dict[ids.BackendServerId, model_placement.Server]
+Needs = dict[model_placement.WeightsId, model_placement.Need]
+
+
+def picture(*owners: model_placement.WeightsId, memory: int = 100) -> Picture:
+    servers = (
+        model_placement.Server(
+            ids.BackendServerId(f"s{index}"), memory, (model_placement.Held(owner, Role.BOTH),)
+        )
+        for index, owner in enumerate(owners)
+    )
+    return {server.id: server for server in servers}
+
+
+def both(count: int) -> model_placement.Need:
+    return model_placement.Need({Role.BOTH: count})
+
+
+def active(servers: Picture, weights: model_placement.WeightsId) -> int:
+    held = (held for server in servers.values() for held in server.held)
+    return sum(1 for h in held if h.weights == weights and h.role is not Role.STANDBY)
+
+
+def apply(servers: Picture, order: model_placement.Order) -> None:
+    """Carry out an order; a load is ready at once."""
+    server = servers[order.server]
+    held = server.held
+    assert server.available
+    if isinstance(order, model_placement.LoadWeights):
+        assert order.weights not in [h.weights for h in held]
+        held += (model_placement.Held(order.weights, Role.STANDBY),)
+    elif isinstance(order, model_placement.UnloadWeights):
+        removed = next(h for h in held if h.weights == order.weights)
+        assert removed.role is Role.STANDBY
+        held = tuple(h for h in held if h is not removed)
+    else:
+        assert order.weights in [h.weights for h in held]
+        held = tuple(
+            dataclasses.replace(h, role=order.role if h.weights == order.weights else Role.STANDBY)
+            for h in held
+        )
+    assert sum(SIZES[h.weights] for h in held) <= server.memory_bytes
+    servers[order.server] = dataclasses.replace(server, held=held)
+
+
+def run(
+    placer: model_placement.ModelPlacer, servers: Picture, now_s: float, needs: Needs
+) -> list[model_placement.Order]:
+    orders = placer.plan(now_s, tuple(servers.values()), needs).orders
+    for order in orders:
+        apply(servers, order)
+    return list(orders)
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(
+    seed=strategies.integers(0, 10_000), store_bytes=strategies.sampled_from([0, 80, 1_000])
+)
+def test_orders_keep_memory_and_what_is_needed(seed: int, store_bytes: int):
+    rng = random.Random(seed)
+    servers = picture(*(rng.choice((A, B, C)) for _ in range(8)))
+    placer = model_placement.new_model_placer(SIZES, store_bytes)
+    for step in range(12):
+        needs = {weights: both(rng.randrange(4)) for weights in (A, B, C)}
+        for server_id, server in servers.items():
+            servers[server_id] = dataclasses.replace(server, available=rng.random() > 0.1)
+        usable = {key: server for key, server in servers.items() if server.available}
+        before = {weights: active(usable, weights) for weights in needs}
+        orders = run(placer, servers, step * 300.0, needs)
+        loads = [o for o in orders if isinstance(o, model_placement.LoadWeights)]
+        assert sum(SIZES[order.weights] for order in loads) <= store_bytes
+        for weights, need in needs.items():
+            usable = {key: servers[key] for key in usable}
+            assert active(usable, weights) >= min(before[weights], need.total())
+
+
+@pytest.mark.parametrize(("dip_s", "moves"), [(600.0, 0), (7_200.0, 0)])
+def test_demand_that_comes_back_moves_no_weights(dip_s: float, moves: int):
+    servers = picture(A, A, A, B, B)
+    placer = model_placement.new_model_placer(SIZES, 1_000)
+    run(placer, servers, 0.0, {A: both(3), B: both(2)})
+    assert run(placer, servers, 300.0, {A: both(1), B: both(4)}) != []
+    run(placer, servers, 600.0, {A: both(1), B: both(4)})
+    assert active(servers, B) == 4
+    back = run(placer, servers, 600.0 + dip_s, {A: both(3), B: both(2)})
+    assert active(servers, A) == 3
+    assert sum(isinstance(o, model_placement.LoadWeights) for o in back) == moves
+
+
+@pytest.mark.parametrize(("now_s", "unloads"), [(600.0, 0), (3_000.0, 2)])
+def test_weights_needed_recently_stay_in_memory(now_s: float, unloads: int):
+    servers = picture(A, A, B, memory=100)
+    servers[ids.BackendServerId("s2")] = dataclasses.replace(
+        servers[ids.BackendServerId("s2")],
+        held=(model_placement.Held(B, Role.BOTH), model_placement.Held(A, Role.STANDBY)),
+    )
+    placer = model_placement.new_model_placer(SIZES, 1_000)
+    needs: Needs = {A: both(3), B: both(1)}
+    run(placer, servers, 0.0, needs)
+    orders = []
+    for round_ in range(3):
+        needs = {A: both(2), B: both(0), C: both(1)}
+        orders += run(placer, servers, now_s + round_, needs)
+    assert active(servers, C) == unloads / 2
+    assert sum(isinstance(o, model_placement.UnloadWeights) for o in orders) == unloads
+
+
+@pytest.mark.parametrize(
+    ("load", "split_before", "counts"),
+    [
+        ((0.0, 0.0), False, {}),
+        ((0.1, 0.1), False, {Role.BOTH: 2}),
+        ((1.0, 2.5), False, {Role.BOTH: 5}),
+        ((1.0, 2.5), True, {Role.PREFILL: 2, Role.DECODE: 3}),
+        ((1.0, 4.0), False, {Role.PREFILL: 2, Role.DECODE: 5}),
+        ((1.0, 1.5), True, {Role.BOTH: 3}),
+    ],
+)
+def test_roles_split_with_hysteresis(
+    load: tuple[float, float], split_before: bool, counts: dict[Role, int]
+):
+    need = model_placement.need_of(model_placement.Load(*load), split_before)
+    assert need.count_by_role == counts
+
+
+def test_adapters_go_where_their_model_has_a_role():
+    servers = picture(B, A, A, B)
+    placer = model_placement.new_model_placer(SIZES, 1_000)
+    orders = run(placer, servers, 0.0, {A: both(2), B: both(2), ADAPTER: both(2)})
+    assert [(order.server, order.weights) for order in orders] == [
+        ("s1", ADAPTER),
+        ("s2", ADAPTER),
+    ]
+
+
+@pytest.mark.parametrize("fails_at_s", [None, 1_000.0])
+def test_new_version_takes_over_beside_the_old_one(fails_at_s: float | None):
+    servers = picture(A, A, A, A, B)
+    placer = model_placement.new_model_placer(SIZES, 1_000)
+    ramp = version_ramp.new_version_ramp(0.0)
+    shares = []
+    for minute in range(80):
+        now_s = minute * 60.0
+        healthy = fails_at_s is None or now_s < fails_at_s
+        step = ramp.advance(now_s, both(3), active(servers, A2), healthy)
+        needs = {A: step.old_need, A2: step.new_need, B: both(1)}
+        run(placer, servers, now_s, needs)
+        assert active(servers, A) >= step.old_need.total()
+        assert active(servers, A2) >= 3 * step.share - 1e-6
+        shares.append(step.share)
+    if fails_at_s is None:
+        assert shares == sorted(shares)
+        assert set(version_ramp.SHARES) <= set(shares)
+        assert step.old_retired
+    else:
+        assert shares[-1] == 0.0
+        assert 0.0 < max(shares) < 1.0
+        assert active(servers, A) >= 3
--- a/tests/test_benchmark_placement.py
+++ b/tests/test_benchmark_placement.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from benchmarks import expert_placement
+from benchmarks import expert_placement, model_placement
 
 BOUNDS = tomllib.loads(
     (pathlib.Path(__file__).parent.parent / "benchmarks" / "bounds.toml").read_text()
@@ -36,3 +36,11 @@
     result = run("incremental", ranks, spare)
     share = result.moved_bytes / full.moved_bytes
     assert 0.0 < share <= BOUNDS["expert_placement"]["bytes_share"]
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_models_follow_the_demand_of_the_day(seed: int):
+    fixed = model_placement.run("fixed", seed)
+    following = model_placement.run("following", seed)
+    assert following.in_target >= BOUNDS["model_placement"]["in_target"]
+    assert following.in_target > fixed.in_target
