Accept ranks without any progress in expert placement

Cause: a stalled rank has a measured rate of 0, which divided by zero.

Conclusion: stalled ranks shed their load like slow ones.

--- a/packages/core/src/gentianpaddle_core/_leveling.py
+++ b/packages/core/src/gentianpaddle_core/_leveling.py
@@ -22,6 +22,10 @@
 """Replicas that are tried in full of those that look best."""
 
 
+LEAST_RATE = 0.01
+"""Rate that a stalled rank counts with, so that it keeps an order among ranks."""
+
+
 class Layer:
     """Load of one layer. `amounts[expert][rank]` adds up to `loads[expert]`."""
 
@@ -32,7 +36,7 @@
     ) -> None:
         self.loads = loads
         self.amounts = amounts
-        self.rates = rates
+        self.rates = usable(rates)
         self.rank_loads = [0.0] * len(rates)
         for by_rank in amounts:
             for rank, amount in by_rank.items():
@@ -168,6 +172,7 @@
 
 def packed(loads: Sequence[float], rates: Sequence[float], slots: Sequence[int]) -> Layer:
     """Give the hottest experts replicas and put the replicas on the ranks with most room."""
+    rates = usable(rates)
     copies = [1] * len(loads)
     for _ in range(sum(slots) - len(loads)):
         candidates = [e for e in range(len(loads)) if copies[e] < len(rates)]
@@ -197,6 +202,11 @@
     return Layer(list(loads), amounts, rates)
 
 
+def usable(rates: Sequence[float]) -> tuple[float, ...]:
+    """Return rates that can be divided by."""
+    return tuple(max(LEAST_RATE, rate) for rate in rates)
+
+
 def units(amounts: dict[int, float], load: float, total: int) -> dict[int, int]:
     """Round amounts to whole units that add up to the total, by largest remainder."""
     if load <= 0.0:
--- a/packages/core/src/gentianpaddle_core/expert_placement.py
+++ b/packages/core/src/gentianpaddle_core/expert_placement.py
@@ -132,13 +132,14 @@
     Returns:
         Sum over layers of the longest rank time, over the sum of the mean rank times.
     """
+    rates = _leveling.usable(group.rates)
     longest = mean = 0.0
     for replicas, load in zip(expert_map.layers, loads, strict=True):
         times = [0.0] * len(group.rates)
         for expert, copies in enumerate(replicas):
             for copy in copies:
                 part = load[expert] * copy.units / SHARE_UNITS
-                times[copy.rank] += part / group.rates[copy.rank]
+                times[copy.rank] += part / rates[copy.rank]
         longest += max(times)
         mean += sum(times) / len(times)
     return longest / mean if mean > 0.0 else 1.0
