--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -52,7 +52,7 @@
     """Processor time that a member uses a second at rest, without the network, in ms."""
     view_age_p99_s: float
     """View age over members and time at rest, 99 in 100 are below."""
-    false_suspicions: int
+    false_suspicions: float
     """Members that were suspected at rest without a fault, over the whole rest period."""
 
 
--- a/packages/core/src/gentianpaddle_core/digest.py
+++ b/packages/core/src/gentianpaddle_core/digest.py
@@ -359,6 +359,12 @@
             self.put_crash(crash, now_s)
 
     def note_changed(self, vm: ids.VmId, result: membership.MergeResult) -> None:
+        """Spread a change that was made in the table directly.
+
+        Args:
+            vm: Name of the VM.
+            result: Kind of the change.
+        """
         if result is membership.MergeResult.HEARTBEAT:
             self._heartbeat_sends[vm] = HEARTBEAT_SENDS
         elif result is not membership.MergeResult.NOTHING:
