Quarantine requests that crash backend servers and give lists of entries

Cause: a request that crashes its engine was retried on one engine after the other, and an entry named only itself to callers. Change: agents record the requests in progress at a crash and entries spread these records over the dispatch streams (each change once); the second crash refuses the request everywhere. Member records carry the port for callers, and /v1/entries answers from the members, without leaving ones. Figures: in the new test the marked request takes down at most 2 of 2 engines and is then refused with 422 by both entries; two streams beside it end whole. Conclusion: the promise holds for one sender; copies sent to many entries at once are bounded by the candidates, not yet measured over processes.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -9,9 +9,8 @@
 import functools
 import sys
 
-from gentianpaddle_core import ids
-
 from benchmarks import fakes, fleet
+from gentianpaddle_core import ids
 
 MULTIPLES = (1.0, 1.5, 2.0, 3.0)
 SMALL_SHARE = 0.05
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,9 +13,8 @@
 import random
 from collections.abc import Callable
 
-from gentianpaddle_core import admission, declarations, ids, retries, routing
-
 from benchmarks import fakes
+from gentianpaddle_core import admission, declarations, ids, retries, routing
 
 MODEL = ids.ModelName("draft")
 QUOTE = declarations.ClassOfWork(ids.ClassName("quote"), 1.8, 27.0, 0.95, 20.0)
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -10,9 +10,8 @@
 import sys
 from collections.abc import Callable, Iterable
 
-from gentianpaddle_core import ids, membership
-
 from benchmarks import membership_fleet
+from gentianpaddle_core import ids, membership
 
 SIZES = (8, 64, 360)
 SEEDS = (1, 2, 3, 4, 5)
--- a/benchmarks/membership_fleet.py
+++ b/benchmarks/membership_fleet.py
@@ -9,9 +9,8 @@
 import time
 from collections.abc import Callable
 
-from gentianpaddle_core import digest, digest_messages, ids, membership, settings
-
 from benchmarks import membership_wire
+from gentianpaddle_core import digest, digest_messages, ids, membership, settings
 
 CENTRES = ("shah-alam", "petaling-jaya", "cyberjaya", "gent", "antwerpen")
 NEAR_CENTRES = frozenset(CENTRES[:3])
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -14,9 +14,8 @@
 import sys
 import time
 
-from gentianpaddle_core import ids, routing, scoring
-
 from benchmarks import fakes, fleet
+from gentianpaddle_core import ids, routing, scoring
 
 LOADS = (0.5, 0.8, 0.95, 1.2)
 FLEET_SIZES = (20, 200, 2_000)
--- a/packages/command/src/gentianpaddle_command/_demo_load.py
+++ b/packages/command/src/gentianpaddle_command/_demo_load.py
@@ -12,6 +12,7 @@
 
 import urllib3
 import urllib3.exceptions
+
 from gentianpaddle_standins import answers
 
 ANSWER_TOKENS = 16
--- a/packages/command/src/gentianpaddle_command/main.py
+++ b/packages/command/src/gentianpaddle_command/main.py
@@ -15,9 +15,9 @@
 import typing
 
 import click
-from gentianpaddle_core import declarations
 
 from gentianpaddle_command import client
+from gentianpaddle_core import declarations
 
 CONFIRM_POLL_S = 0.25
 
--- a/packages/core/src/gentianpaddle_core/blackboard.py
+++ b/packages/core/src/gentianpaddle_core/blackboard.py
@@ -14,6 +14,7 @@
     digest,
     ids,
     ledger,
+    quarantine,
     retries,
     routing,
     settings,
@@ -38,6 +39,12 @@
     """Configuration in force."""
     exchanger: digest.Exchanger
     """Members, crash records and the exchange."""
+    quarantine: quarantine.Quarantine
+    """Requests that crash backend servers."""
+    crash_version: int = 0
+    """Rises with each change of the quarantine, so that changes are sent once."""
+    in_progress_at_break: frozenset[ids.Fingerprint] = frozenset()
+    """Requests in progress when a call broke, until the next health check judges it."""
     leaving: bool = False
     """Whether the process is being stopped."""
     out_revision: ids.Revision = _NO_REVISION
@@ -84,6 +91,10 @@
     """Configuration in force."""
     exchanger: digest.Exchanger
     """Members, crash records and the exchange."""
+    quarantine: quarantine.Quarantine
+    """Requests that crash backend servers."""
+    crash_version: int = 0
+    """Rises with each change of the quarantine, so that changes are sent once."""
     vm_by_backend_server: dict[ids.BackendServerId, ids.VmId] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/src/gentianpaddle_core/membership.py
+++ b/packages/core/src/gentianpaddle_core/membership.py
@@ -73,6 +73,8 @@
     """Raised only by the member itself."""
     state: State
     """State at this heartbeat."""
+    caller_port: int = 0
+    """Port for callers of an entry; 0 for an agent."""
 
 
 class MergeResult(enum.StrEnum):
@@ -98,7 +100,7 @@
     """Whether the platform is about to take the VM away."""
 
 
-def order(record: MemberRecord) -> tuple[int, int, int, str, str, int, int]:
+def order(record: MemberRecord) -> tuple[int, int, int, str, str, int, int, int]:
     """Order of the records of one VM; of two records the greater one holds.
 
     Args:
@@ -115,6 +117,7 @@
         record.data_centre,
         record.port,
         record.role,
+        record.caller_port,
     )
 
 
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -4,9 +4,10 @@
 
 import hypothesis
 import pytest
-from gentianpaddle_core import admission, declarations, ids
 from hypothesis import strategies
 
+from gentianpaddle_core import admission, declarations, ids
+
 MODEL = ids.ModelName("m")
 QUOTE = declarations.ClassOfWork(ids.ClassName("quote"), 1.8, 27.0, 0.95, 20.0)
 BATCH = declarations.ClassOfWork(ids.ClassName("batch"), 30.0, 90.0, 0.9, 600.0)
--- a/packages/core/tests/test_answer_stream.py
+++ b/packages/core/tests/test_answer_stream.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+
 from gentianpaddle_core import answer_stream, ids
 
 KEY = ids.RequestKey("o1/k1")
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -5,10 +5,11 @@
 import dataclasses
 
 import pytest
-from gentianpaddle_core import capacity, ids
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from gentianpaddle_core import capacity, ids
+
 STEP_S = 0.03
 E1 = ids.VmId("e1")
 
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -6,6 +6,8 @@
 import random
 
 import pytest
+from hypothesis import settings, stateful, strategies
+
 from gentianpaddle_core import (
     claim_limits,
     claim_records,
@@ -18,7 +20,6 @@
     store_steps,
 )
 from gentianpaddle_standins import faults, object_store
-from hypothesis import settings, stateful, strategies
 
 LIMITS = claim_limits.ClaimLimits(batch_s=0.0, batch_claims=3, ring_slots=8, segment_slots=4_096)
 DONE = outcomes.Done(b"\x00\xff done")
--- a/packages/core/tests/test_configuration.py
+++ b/packages/core/tests/test_configuration.py
@@ -5,9 +5,10 @@
 import random
 
 import pytest
+from hypothesis import given, strategies
+
 from gentianpaddle_core import configuration, ids, object_api, store_steps
 from gentianpaddle_standins import faults, object_store
-from hypothesis import given, strategies
 
 TEXT = '[models.m]\nversion = "{}"\n'
 
--- a/packages/core/tests/test_day_figures.py
+++ b/packages/core/tests/test_day_figures.py
@@ -6,9 +6,10 @@
 
 import hypothesis
 import pytest
-from gentianpaddle_core import day_codec, day_figures, day_recorder, ids, object_api
 from hypothesis import strategies
 
+from gentianpaddle_core import day_codec, day_figures, day_recorder, ids, object_api
+
 QUOTE = ids.ClassName("quote")
 ORGANISATION = ids.OrganisationId("roofers")
 DATE = "2026-12-04"
--- a/packages/core/tests/test_entry_list.py
+++ b/packages/core/tests/test_entry_list.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+
 from gentianpaddle_core import entry_list, ids, membership, settings
 
 State = membership.State
--- a/packages/core/tests/test_evacuation.py
+++ b/packages/core/tests/test_evacuation.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+
 from gentianpaddle_core import evacuation, ids
 
 PATHS = evacuation.Paths(1e9, 0.1, 8_000.0, 0.2, targets=2)
--- a/packages/core/tests/test_expert_map.py
+++ b/packages/core/tests/test_expert_map.py
@@ -5,10 +5,11 @@
 import random
 
 import pytest
-from gentianpaddle_core import expert_map, ids, map_gate, map_messages, object_api
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
+from gentianpaddle_core import expert_map, ids, map_gate, map_messages, object_api
+
 RANKS = 3
 KEY = "maps/g"
 
--- a/packages/core/tests/test_expert_placement.py
+++ b/packages/core/tests/test_expert_placement.py
@@ -7,9 +7,10 @@
 
 import hypothesis
 import pytest
-from gentianpaddle_core import expert_placement, expert_popularity
 from hypothesis import strategies
 
+from gentianpaddle_core import expert_placement, expert_popularity
+
 EXPERT_BYTES = 10
 HOUR_S = 3_600.0
 
--- a/packages/core/tests/test_histograms.py
+++ b/packages/core/tests/test_histograms.py
@@ -6,9 +6,10 @@
 
 import hypothesis
 import pytest
-from gentianpaddle_core import histograms
 from hypothesis import strategies
 
+from gentianpaddle_core import histograms
+
 VALUES = strategies.lists(strategies.floats(0.000_2, 3_500.0), min_size=1, max_size=60)
 
 
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -5,9 +5,10 @@
 import random
 
 import pytest
+from hypothesis import settings, stateful, strategies
+
 from gentianpaddle_core import ids, leases, object_api, store_steps
 from gentianpaddle_standins import faults, object_store
-from hypothesis import settings, stateful, strategies
 
 RATES = (
     faults.FaultRates(),
--- a/packages/core/tests/test_ledger.py
+++ b/packages/core/tests/test_ledger.py
@@ -7,11 +7,12 @@
 import random
 
 import pytest
-from gentianpaddle_core import capacity, ids, ledger
 from hypothesis import stateful
 from hypothesis import strategies as st
 from pytest_benchmark import fixture
 
+from gentianpaddle_core import capacity, ids, ledger
+
 E1, E2 = ids.VmId("e1"), ids.VmId("e2")
 Target = ledger.AttemptLedger
 OUTCOME = ledger.KeptOutcome(200, "text/plain", b"answer")
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -6,10 +6,11 @@
 import itertools
 
 import pytest
-from gentianpaddle_core import ids, membership
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gentianpaddle_core import ids, membership
+
 State = membership.State
 
 
--- a/packages/core/tests/test_model_placement.py
+++ b/packages/core/tests/test_model_placement.py
@@ -8,9 +8,10 @@
 
 import hypothesis
 import pytest
-from gentianpaddle_core import ids, model_placement, version_ramp
 from hypothesis import strategies
 
+from gentianpaddle_core import ids, model_placement, version_ramp
+
 Role = model_placement.Role
 A, A2, B, C = (
     model_placement.WeightsId(ids.ModelName(name), version)
--- a/packages/core/tests/test_orders.py
+++ b/packages/core/tests/test_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from gentianpaddle_core import ids, orders
 
 NEW = orders.Running(ids.ModelName("m"), "2", "decode")
--- a/packages/core/tests/test_prefix_index.py
+++ b/packages/core/tests/test_prefix_index.py
@@ -4,9 +4,10 @@
 
 import hypothesis
 import pytest
-from gentianpaddle_core import ids, prefix_index
 from hypothesis import strategies
 
+from gentianpaddle_core import ids, prefix_index
+
 B1, B2 = ids.BackendServerId("b1"), ids.BackendServerId("b2")
 
 
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -8,9 +8,10 @@
 import random
 
 import pytest
-from gentianpaddle_core import ids, quarantine
 from hypothesis import given, strategies
 
+from gentianpaddle_core import ids, quarantine
+
 P, X, Y = (ids.Fingerprint(name) for name in "pxy")
 ALLOW, ISOLATED, REFUSE = quarantine.Allow(), quarantine.AllowIsolated(), quarantine.Refuse(2)
 CANDIDATES = 16
--- a/packages/core/tests/test_retries.py
+++ b/packages/core/tests/test_retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from gentianpaddle_core import retries
 
 DECLINED, NOT_RUN, FAILED = retries.Ending.DECLINED, retries.Ending.NOT_RUN, retries.Ending.FAILED
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -5,6 +5,7 @@
 import collections.abc
 
 import pytest
+
 from gentianpaddle_core import declarations, ids, prefix_index, routing, scoring
 
 MODEL = ids.ModelName("m")
--- a/packages/core/tests/test_scoring.py
+++ b/packages/core/tests/test_scoring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from gentianpaddle_core import ids, scoring
 
 LOAD = scoring.Load(limit=16, running=4, waiting_tokens=1_000, grant=8, step_time_s=0.0)
--- a/packages/core/tests/test_settings.py
+++ b/packages/core/tests/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from gentianpaddle_core import settings
 
 COMMON = """
--- a/packages/core/tests/test_views.py
+++ b/packages/core/tests/test_views.py
@@ -5,6 +5,7 @@
 import collections
 
 import pytest
+
 from gentianpaddle_core import ids, routing, views
 
 PLACE = routing.Place(ids.DataCentreId("d0"), ids.RegionId("r0"))
--- a/packages/core/tests/test_watchers.py
+++ b/packages/core/tests/test_watchers.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+
 from gentianpaddle_core import ids, membership, watchers
 
 
--- a/packages/daemon/src/gentianpaddle_daemon/agent/links.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/links.py
@@ -5,7 +5,6 @@
 import asyncio
 
 from gentianpaddle_core import ids
-
 from gentianpaddle_daemon.wire import messages_pb2 as pb
 
 OUTGOING_LIMIT = 8_192
@@ -21,6 +20,7 @@
         self.closed = asyncio.Event()
         self.demand = 0
         self.grant = 0
+        self.crash_version = 0
         self._outgoing: asyncio.Queue[pb.FromAgent] = asyncio.Queue(OUTGOING_LIMIT)
 
     def send(self, message: pb.FromAgent) -> None:
--- a/packages/daemon/src/gentianpaddle_daemon/agent/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/process.py
@@ -8,6 +8,8 @@
 import random
 import time
 
+from grpclib import server as grpc_server
+
 from gentianpaddle_core import (
     blackboard,
     capacity,
@@ -17,10 +19,9 @@
     ids,
     ledger,
     membership,
+    quarantine,
     settings,
 )
-from grpclib import server as grpc_server
-
 from gentianpaddle_daemon import exchange, logs, loop_thread, metrics
 from gentianpaddle_daemon.agent import backend, runner, service
 
@@ -118,6 +119,10 @@
                 continue
 
     def _suspect_backend(self) -> None:
+        board = self.board
+        if not board.in_progress_at_break:
+            running = board.ledger.running()
+            board.in_progress_at_break = frozenset(each.fingerprint for each in running)
         self.board.capacity.suspend()
         self._service.report_load()
         self._check_now.set()
@@ -128,6 +133,7 @@
         if health is None:
             self._failed_checks += 1
             if self._failed_checks == FAILED_CHECKS_LIMIT:
+                self._record_crash()
                 board.capacity.lose_engine(now_s)
                 logs.event(_logger, "backend_lost", logging.WARNING)
                 self._service.report_load()
@@ -139,6 +145,9 @@
             running=board.capacity.running,
         )
         was_suspended = board.capacity.limit == 0
+        if health.incarnation != board.engine_incarnation:
+            self._record_crash()
+        board.in_progress_at_break = frozenset()
         cause = board.capacity.observe_engine(now_s, report)
         board.engine_incarnation = health.incarnation
         board.step_s = health.step_s
@@ -148,6 +157,20 @@
         if cause is not None or was_suspended:
             self._service.report_load()
 
+    def _record_crash(self) -> None:
+        board = self.board
+        suspects = board.in_progress_at_break
+        board.in_progress_at_break = frozenset()
+        if not suspects:
+            return
+        crash_id = f"{board.own.process.vm}/{board.incarnation}/{board.engine_incarnation}"
+        board.quarantine.crashed(crash_id, suspects, time.monotonic())
+        board.crash_version += 1
+        logs.event(
+            _logger, "backend_crashed", logging.WARNING, crash=crash_id, suspects=len(suspects)
+        )
+        self._service.report_load()
+
     def _on_learned(self, learned: digest.Learned) -> None:
         exchanged = self.board.exchanger.configuration
         if learned.configuration_changed:
@@ -184,6 +207,7 @@
         ledger=ledger.new_ledger(incarnation, places),
         configuration=configuration.ConfigurationState(),
         exchanger=digest.Exchanger(table, own.process.peers, crashes, now_s),
+        quarantine=quarantine.new_quarantine(),
     )
 
 
--- a/packages/daemon/src/gentianpaddle_daemon/agent/runner.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/runner.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from gentianpaddle_core import blackboard, ids, ledger
-
 from gentianpaddle_daemon import logs, loop_thread, metrics
 from gentianpaddle_daemon.agent import backend, links
 from gentianpaddle_daemon.wire import messages_pb2 as pb
@@ -209,6 +208,8 @@
         body = bytes(run.body) if _keeps_body(run) else None
         outcome = ledger.KeptOutcome(http_status, content_type, body)
         self._board.ledger.finish(now_s, key, attempt, outcome, run.step_s)
+        if self._board.quarantine.completed(ids.Fingerprint(run.start.fingerprint), now_s):
+            self._board.crash_version += 1
         self._metrics.attempts.inc({"result": "done"})
         run.link.send(
             pb.FromAgent(
--- a/packages/daemon/src/gentianpaddle_daemon/agent/service.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/service.py
@@ -7,11 +7,11 @@
 import logging
 import time
 
-from gentianpaddle_core import blackboard, ids, ledger
 from grpclib import exceptions
 from grpclib import server as grpc_server
 
-from gentianpaddle_daemon import logs, metrics, security
+from gentianpaddle_core import blackboard, ids, ledger, quarantine
+from gentianpaddle_daemon import logs, metrics, security, wire_crashes
 from gentianpaddle_daemon.agent import links, runner
 from gentianpaddle_daemon.wire import messages_grpc
 from gentianpaddle_daemon.wire import messages_pb2 as pb
@@ -91,6 +91,9 @@
             if link is not None and not (changed_only and link.grant == grant.amount):
                 link.grant = grant.amount
                 load = self._load(grant.amount, grant.epoch)
+                if link.crash_version != self._board.crash_version:
+                    link.crash_version = self._board.crash_version
+                    load.crashes.extend(wire_crashes.to_wire(self._board.quarantine, now_s))
                 self._metrics.control_bytes.add({"message": "load"}, load.ByteSize())
                 link.send(pb.FromAgent(load=load))
 
@@ -134,7 +137,9 @@
 
     def _start(self, start: pb.Start, link: links.EntryLink) -> None:
         now_s = time.monotonic()
-        decision = self._board.ledger.admit(now_s, _start_request(start, link, now_s), self._now())
+        wanted = _start_request(start, link, now_s)
+        conditions = self._conditions(wanted.fingerprint, now_s)
+        decision = self._board.ledger.admit(now_s, wanted, conditions)
         if isinstance(decision, ledger.Declined):
             self._metrics.attempts.inc({"result": "declined"})
             logs.event(
@@ -150,8 +155,16 @@
         link.send(pb.FromAgent(accepted=pb.Accepted(key=start.key, attempt=start.attempt)))
         self._attempts.launch(start, link)
 
-    def _now(self) -> ledger.Conditions:
-        return ledger.Conditions(leaving=self._board.leaving, data_centre_out=self._board.is_out())
+    def _conditions(self, fingerprint: ids.Fingerprint, now_s: float) -> ledger.Conditions:
+        board = self._board
+        running = [each.fingerprint for each in board.ledger.running()]
+        decision = board.quarantine.admit(fingerprint, running, now_s)
+        allowed = isinstance(decision, quarantine.Allow | quarantine.AllowIsolated)
+        # A copy that runs already is a matter of the ledger, which names it as such.
+        allowed = allowed or fingerprint in running
+        return ledger.Conditions(
+            leaving=board.leaving, data_centre_out=board.is_out(), quarantined=not allowed
+        )
 
     def _heartbeat(self, heartbeat: pb.Heartbeat, link: links.EntryLink) -> None:
         board = self._board
@@ -162,6 +175,8 @@
         board.capacity.hear(
             time.monotonic(), link.entry, heartbeat.demand, heartbeat.acknowledged_grant_epoch
         )
+        if board.quarantine.merge(wire_crashes.from_wire(heartbeat.crashes), time.monotonic()):
+            board.crash_version += 1
         link.demand = heartbeat.demand
         if any(each.demand > each.grant for each in self.link_by_entry.values()):
             self._report_soon()
--- a/packages/daemon/src/gentianpaddle_daemon/entry/agents.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/agents.py
@@ -17,8 +17,7 @@
     scoring,
     settings,
 )
-
-from gentianpaddle_daemon import logs, metrics
+from gentianpaddle_daemon import logs, metrics, wire_crashes
 from gentianpaddle_daemon.entry import link
 from gentianpaddle_daemon.wire import messages_pb2 as pb
 
@@ -39,6 +38,7 @@
     backend_server: ids.BackendServerId | None = None
     targets: frozenset[str] = frozenset()
     reported_demand: int = 0
+    crash_version: int = 0
 
 
 class Agents:
@@ -125,6 +125,9 @@
     def _send_heartbeat(self, agent: ids.VmId, linked: _Linked, now_s: float) -> None:
         heartbeat = self._heartbeat(agent, linked, now_s)
         linked.reported_demand = heartbeat.demand
+        if linked.crash_version != self._board.crash_version:
+            linked.crash_version = self._board.crash_version
+            heartbeat.crashes.extend(wire_crashes.to_wire(self._board.quarantine, now_s))
         self._metrics.control_bytes.add({"message": "heartbeat"}, heartbeat.ByteSize())
         linked.link.send(pb.FromEntry(heartbeat=heartbeat))
 
@@ -223,6 +226,9 @@
             self._send_heartbeat(agent, linked, now_s)
         known = self._board.revision_by_agent.get(agent, ids.Revision(0))
         self._board.revision_by_agent[agent] = max(known, ids.Revision(load.revision))
+        if self._board.quarantine.merge(wire_crashes.from_wire(load.crashes), now_s):
+            self._board.crash_version += 1
+            self.send_heartbeats()
         linked.load = scoring.Load(
             limit=load.limit,
             running=load.running,
--- a/packages/daemon/src/gentianpaddle_daemon/entry/attempt.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/attempt.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from gentianpaddle_core import answer_stream, ids
-
 from gentianpaddle_daemon.entry import link, request
 from gentianpaddle_daemon.wire import messages_pb2 as pb
 
@@ -46,6 +45,8 @@
 
     reason: str
     """Why."""
+    broken: bool = False
+    """Whether the connection to the backend server broke, as in a crash."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -262,4 +263,4 @@
         return ProvenNotRun(failed.reason, declined=False)
     if failed.reason.startswith("http_4"):
         return Rejected(failed.reason)
-    return MayHaveRun(failed.reason)
+    return MayHaveRun(failed.reason, broken=failed.crashed)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/claim_log.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/claim_log.py
@@ -17,7 +17,6 @@
     outcomes,
     store_steps,
 )
-
 from gentianpaddle_daemon.entry import claiming
 
 SHARDS = 2
--- a/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
@@ -11,7 +11,6 @@
 from concurrent import futures
 
 from gentianpaddle_core import blackboard, configuration, ids, object_api, store_steps
-
 from gentianpaddle_daemon import logs
 
 WATCH_WAIT_S = 2.0
--- a/packages/daemon/src/gentianpaddle_daemon/entry/day.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/day.py
@@ -17,10 +17,9 @@
     ids,
     object_api,
 )
-from gentianpaddle_report import evening_page
-
 from gentianpaddle_daemon import logs
 from gentianpaddle_daemon.entry import request, responses
+from gentianpaddle_report import evening_page
 
 WRITE_PERIOD_S = 1.0
 PARTS_A_READ = 200
--- a/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
@@ -17,10 +17,10 @@
     ids,
     outcomes,
     prefix_index,
+    quarantine,
     retries,
     routing,
 )
-
 from gentianpaddle_daemon import logs, loop_thread
 from gentianpaddle_daemon.entry import (
     agents,
@@ -34,6 +34,7 @@
 )
 
 RETRY_LOOK_S = 0.05
+CRASH_NEWS_WAIT_S = 0.3
 FIRST_ATTEMPT = ids.Attempt(1)
 
 _logger = logging.getLogger("gentianpaddle.entry.dispatcher")
@@ -142,6 +143,9 @@
             known = await self._known_outcome(checked)
             if known is not None:
                 return known
+        refused = self._quarantined(checked)
+        if refused is not None:
+            return refused
         first = await self._wait_turn(pending)
         if not isinstance(first, routing.Routed):
             return first
@@ -378,6 +382,8 @@
     ) -> routing.Routed | outcomes.Outcome:
         checked = pending.checked
         if isinstance(ended, attempt.Completed):
+            if self._board.quarantine.completed(checked.fingerprint, time.monotonic()):
+                self._board.crash_version += 1
             return outcomes.Done(bytes(pending.body), ended.content_type, ended.http_status)
         if isinstance(ended, attempt.Rejected):
             return outcomes.Refused("backend_rejected", f"the backend said {ended.reason}")
@@ -417,10 +423,20 @@
             reason=ended.reason,
             retry=isinstance(allowed, retries.Retry),
         )
+        if isinstance(ended, attempt.MayHaveRun) and ended.broken:
+            # The agent is about to find out whether this was a crash and of which requests.
+            await asyncio.sleep(CRASH_NEWS_WAIT_S)
+        refused = self._quarantined(checked)
+        if refused is not None:
+            return refused
         if isinstance(allowed, retries.GiveUp):
             return _given_up(pending, ended.reason, allowed)
         return await self._route_again(pending, routed)
 
+    def _quarantined(self, checked: request.CallerRequest) -> outcomes.Refused | None:
+        decision = self._board.quarantine.decide(checked.fingerprint, time.monotonic())
+        return decision.outcome() if isinstance(decision, quarantine.Refuse) else None
+
     async def _route_again(
         self, pending: Pending, routed: routing.Routed
     ) -> routing.Routed | outcomes.Outcome:
--- a/packages/daemon/src/gentianpaddle_daemon/entry/figures.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/figures.py
@@ -7,7 +7,6 @@
 import time
 
 from gentianpaddle_core import day_figures, day_recorder, histograms, outcomes
-
 from gentianpaddle_daemon import logs, metrics
 from gentianpaddle_daemon.entry import day, request, statuses
 
--- a/packages/daemon/src/gentianpaddle_daemon/entry/front.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/front.py
@@ -13,8 +13,8 @@
 
 import urllib3.util
 from cheroot import errors, wsgi
-from gentianpaddle_core import declarations, ids, outcomes, settings
 
+from gentianpaddle_core import declarations, ids, outcomes, settings
 from gentianpaddle_daemon.entry import request, responses, sink
 
 MIN_THREADS = 8
--- a/packages/daemon/src/gentianpaddle_daemon/entry/link.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/link.py
@@ -9,9 +9,9 @@
 import typing
 from collections.abc import Callable
 
-from gentianpaddle_core import ids, settings
 from grpclib import client, exceptions
 
+from gentianpaddle_core import ids, settings
 from gentianpaddle_daemon import logs, security
 from gentianpaddle_daemon.wire import messages_grpc
 from gentianpaddle_daemon.wire import messages_pb2 as pb
--- a/packages/daemon/src/gentianpaddle_daemon/entry/operator.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/operator.py
@@ -18,7 +18,6 @@
     outcomes,
     places,
 )
-
 from gentianpaddle_daemon import loop_thread, metrics, security
 from gentianpaddle_daemon.entry import (
     claiming,
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -9,6 +9,8 @@
 import typing
 from concurrent import futures
 
+from grpclib import server as grpc_server
+
 from gentianpaddle_core import (
     admission,
     blackboard,
@@ -16,16 +18,16 @@
     crash_exchange,
     declarations,
     digest,
+    entry_list,
     ids,
     membership,
     object_api,
     outcomes,
+    quarantine,
     retries,
     routing,
     settings,
 )
-from grpclib import server as grpc_server
-
 from gentianpaddle_daemon import (
     exchange,
     logs,
@@ -79,7 +81,7 @@
 
     def _build(self) -> None:
         own, board = self._own, self.board
-        rng = random.Random(board.incarnation)
+        rng = self._rng = random.Random(board.incarnation)
         self._claims = claim_log.new_claim_log(
             own.process.vm, board.incarnation, self._store, self._store_threads
         )
@@ -218,8 +220,23 @@
             self._configuration_changed()
 
     def _entry_list(self, data_centre: str) -> dict[str, typing.Any]:
-        own = self._own
-        return {"entries": [f"http://{own.http.host}:{own.http.port}"], "ttl_s": self._ttl_s}
+        declaration = self.declaration()
+        centres_out = declaration.data_centres_out if declaration else frozenset()
+        vms_out = declaration.vms_out if declaration else frozenset()
+        candidates = tuple(
+            entry_list.Candidate(
+                vm=record.vm,
+                data_centre=record.data_centre,
+                address=settings.Address(record.host, record.caller_port),
+                state=record.state,
+                out=record.data_centre in centres_out or record.vm in vms_out,
+            )
+            for record in list(self.board.exchanger.table.records())
+            if record.role is membership.Role.ENTRY
+        )
+        chosen = entry_list.choose(candidates, ids.DataCentreId(data_centre), self._rng)
+        urls = [f"http://{address.host}:{address.port}" for address in chosen.addresses]
+        return {"entries": urls, "ttl_s": self._ttl_s}
 
     def _report(self, date: str, form: str) -> responses.Response:
         expected = tuple(
@@ -244,6 +261,7 @@
         incarnation=incarnation,
         heartbeat=0,
         state=membership.State.ALIVE,
+        caller_port=own.http.port,
     )
     table = membership.new_membership(record, now_s)
     crashes = crash_exchange.new_crash_exchange()
@@ -255,6 +273,7 @@
         budget=retries.new_retry_budget(),
         configuration=configuration.ConfigurationState(),
         exchanger=digest.Exchanger(table, process.peers, crashes, now_s),
+        quarantine=quarantine.new_quarantine(),
     )
 
 
--- a/packages/daemon/src/gentianpaddle_daemon/entry/responses.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/responses.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterable, Iterator
 
 from gentianpaddle_core import outcomes
-
 from gentianpaddle_daemon.entry import request, sink
 
 END_MARK = b"data: [DONE]\n\n"
--- a/packages/daemon/src/gentianpaddle_daemon/entry/settlement.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/settlement.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Coroutine
 
 from gentianpaddle_core import claim_records, ids, outcomes
-
 from gentianpaddle_daemon import logs
 from gentianpaddle_daemon.entry import agents, attempt, claiming, link
 from gentianpaddle_daemon.wire import messages_pb2 as pb
--- a/packages/daemon/src/gentianpaddle_daemon/exchange.py
+++ b/packages/daemon/src/gentianpaddle_daemon/exchange.py
@@ -9,10 +9,10 @@
 import typing
 from collections.abc import Callable
 
-from gentianpaddle_core import digest, membership, settings
 from grpclib import client, const, exceptions
 from grpclib import server as grpc_server
 
+from gentianpaddle_core import digest, membership, settings
 from gentianpaddle_daemon import logs, metrics, security, wire_exchange
 from gentianpaddle_daemon.wire import messages_grpc
 from gentianpaddle_daemon.wire import messages_pb2 as pb
--- a/packages/daemon/src/gentianpaddle_daemon/main.py
+++ b/packages/daemon/src/gentianpaddle_daemon/main.py
@@ -12,8 +12,8 @@
 import typing
 
 import click
-from gentianpaddle_core import settings
 
+from gentianpaddle_core import settings
 from gentianpaddle_daemon import logs
 
 MISTAKES_EXIT_CODE = 3
--- a/packages/daemon/src/gentianpaddle_daemon/object_api_http.py
+++ b/packages/daemon/src/gentianpaddle_daemon/object_api_http.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 import urllib3
+
 from gentianpaddle_core import object_api
 
 CONNECT_TIMEOUT_S = 0.5
--- a/packages/daemon/src/gentianpaddle_daemon/wire_exchange.py
+++ b/packages/daemon/src/gentianpaddle_daemon/wire_exchange.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 
 from gentianpaddle_core import configuration_parts, digest_messages, ids, membership
-
 from gentianpaddle_daemon.wire import messages_pb2 as pb
 
 
@@ -156,6 +155,7 @@
             incarnation=record.incarnation,
             heartbeat=record.heartbeat,
             state=int(record.state),
+            caller_port=record.caller_port,
         )
         for record in records
     ]
@@ -171,6 +171,7 @@
         incarnation=ids.Incarnation(message.incarnation),
         heartbeat=message.heartbeat,
         state=membership.State(message.state),
+        caller_port=message.caller_port,
     )
 
 
--- a/packages/daemon/tests/test_object_api_http.py
+++ b/packages/daemon/tests/test_object_api_http.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 import pytest
+
 from gentianpaddle_core import object_api
 from gentianpaddle_daemon import object_api_http
 from gentianpaddle_standins import faults, object_server, object_store
--- a/packages/daemon/tests/test_store_client.py
+++ b/packages/daemon/tests/test_store_client.py
@@ -6,6 +6,7 @@
 import typing
 
 import pytest
+
 from gentianpaddle_core import object_api
 from gentianpaddle_daemon import store_client
 from gentianpaddle_standins import faults, object_store
--- a/packages/report/src/gentianpaddle_report/evening_page.py
+++ b/packages/report/src/gentianpaddle_report/evening_page.py
@@ -7,7 +7,6 @@
 import typing
 
 from gentianpaddle_core import day_figures, declarations
-
 from gentianpaddle_report import _style, summary
 
 PLOTTED_CLASSES_LIMIT = 12
--- a/packages/report/tests/test_evening_page.py
+++ b/packages/report/tests/test_evening_page.py
@@ -7,9 +7,10 @@
 
 import hypothesis
 import pytest
+from hypothesis import strategies
+
 from gentianpaddle_core import day_figures, declarations, ids
 from gentianpaddle_report import evening_page, summary
-from hypothesis import strategies
 
 DATE = "2026-12-04"
 QUOTE = ids.ClassName("quote")
--- a/packages/standins/src/gentianpaddle_standins/faults.py
+++ b/packages/standins/src/gentianpaddle_standins/faults.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 
 from gentianpaddle_core import object_api
-
 from gentianpaddle_standins import object_store
 
 
--- a/packages/standins/src/gentianpaddle_standins/object_server.py
+++ b/packages/standins/src/gentianpaddle_standins/object_server.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterable
 
 import cheroot.wsgi
+
 from gentianpaddle_core import object_api
 
 LOOPBACK = "127.0.0.1"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,7 @@
 
 import pytest
 import urllib3
+
 from gentianpaddle_standins import (
     answers,
     engine,
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -6,6 +6,7 @@
 import typing
 
 import pytest
+
 from gentianpaddle_standins import answers
 
 CALLER = {"Authorization": "Bearer caller-token", "Gentianpaddle-Class": "quote"}
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -12,7 +12,7 @@
 import typing
 from collections.abc import Callable
 
-from gentianpaddle_standins import answers
+from gentianpaddle_standins import answers, engine
 
 OUT_LIMIT_S = 5.0
 STOP_LIMIT_S = 60.0
@@ -156,3 +156,25 @@
         reply = long.result()
     assert (reply.ended, reply.text) == (True, answers.text("outlives the entry list", 400))
     assert fleet.process_by_vm["entry1"].wait(STOP_LIMIT_S) == 0
+
+
+def test_request_that_crashes_engines_is_refused_and_its_neighbours_go_on(
+    own_fleet: typing.Any,
+):
+    fleet = own_fleet
+    with in_threads(4) as threads:
+        beside = [
+            threads.submit(fleet.chats_whole, fleet.urls[n % 2], f"beside {n}", 60)
+            for n in range(2)
+        ]
+        wait_until(lambda: runs(fleet) >= 2)
+        reply = fleet.chat(fleet.urls[0], engine.CRASH_MARK, 20)
+        assert all(each.result() for each in beside)
+    assert reply.status == 422
+    assert "request_crashes_servers" in str(reply.payload)
+    crashes = sum(each.crashes for each in fleet.engines)
+    assert crashes <= 2
+    for url in fleet.urls:
+        assert fleet.chat(url, engine.CRASH_MARK, 20).status == 422
+    assert sum(each.crashes for each in fleet.engines) == crashes
+    assert fleet.chats_whole(fleet.urls[1], "another request of the same sender")
