Say that a failed ramp is not resumed

Cause: the behaviour after a failure was only visible in the code.

Change: one sentence in the class description.

--- a/packages/core/src/gentianpaddle_core/version_ramp.py
+++ b/packages/core/src/gentianpaddle_core/version_ramp.py
@@ -40,7 +40,7 @@
 
 
 class VersionRamp:
-    """Ramp of one model."""
+    """Ramp of one model; after a failure a new one is needed for another try."""
 
     def __init__(self, now_s: float) -> None:
         self._share = 0.0
