Let few entries watch the configuration and others read it when stale

Cause: every entry held a watch, and an agent cut off from fresh entries had no other way to learn of a change. Change: 3 entries a data centre watch; the rest and all agents read the configuration themselves when their view is older than 3 s or a known revision does not arrive, at most once in 5 s.

--- a/packages/daemon/src/gentianpaddle_daemon/agent/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/process.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import concurrent.futures
 import logging
 import random
 import time
+from concurrent import futures
 
 from grpclib import server as grpc_server
 
@@ -22,12 +22,22 @@
     quarantine,
     settings,
 )
-from gentianpaddle_daemon import exchange, logs, loop_thread, metrics
+from gentianpaddle_daemon import (
+    exchange,
+    freshness,
+    logs,
+    loop_thread,
+    metrics,
+    object_api_http,
+    store_client,
+)
 from gentianpaddle_daemon.agent import backend, runner, service
 
 LOAD_PERIOD_S = 0.5
 HEALTH_PERIOD_S = 0.5
 DRAIN_POLL_S = 0.05
+STORE_BUDGET = store_client.CallBudget(reads_per_s=0.2, writes_per_s=0.0)
+"""An agent only reads the configuration, at most once in 5 s."""
 STOP_LIMIT_S = 600.0
 START_TIMEOUT_S = 10.0
 FAILED_CHECKS_LIMIT = 2
@@ -43,7 +53,9 @@
         self._loop = loop_thread.new_loop_thread(f"agent-{own.process.vm}")
         self._metrics = metrics.new_metrics()
         self._server = backend.new_http_backend(own.backend_url)
-        self._health_thread = concurrent.futures.ThreadPoolExecutor(1, "backend-health")
+        self._health_thread = futures.ThreadPoolExecutor(1, "backend-health")
+        # Apart from the health checks, which a slow object API must not hold up.
+        self._store_thread = futures.ThreadPoolExecutor(1, "object-api")
         self._failed_checks = 0
         self._check_now = asyncio.Event()
         self.board = _new_blackboard(own)
@@ -58,6 +70,17 @@
             self._on_learned,
             random.Random(self.board.incarnation),
         )
+        store = store_client.StoreClient(
+            object_api_http.HttpObjectApi(own.process.object_api_url), STORE_BUDGET
+        )
+        self._freshness = freshness.FreshnessCheck(
+            self.board.exchanger,
+            self.board.configuration,
+            store,
+            self._store_thread,
+            self._adopt,
+            random.Random(self.board.incarnation),
+        )
         self._grpc: grpc_server.Server | None = None
 
     def start(self) -> None:
@@ -81,13 +104,19 @@
         self._loop.stop()
         self._attempts.close()
         self._health_thread.shutdown(wait=False)
+        self._store_thread.shutdown(wait=False)
 
     async def _start(self) -> None:
         address = self.board.own.process.listen
         # The server belongs to the event loop on which it is created.
         self._grpc = grpc_server.Server([self._service, self._exchange])
         await self._grpc.start(address.host, address.port)
-        for loop_body in (self._exchange.run, self._report_loads, self._check_health):
+        for loop_body in (
+            self._exchange.run,
+            self._report_loads,
+            self._check_health,
+            self._freshness.run,
+        ):
             self._loop.spawn(loop_body())
         logs.event(_logger, "started", role="agent", incarnation=self.board.incarnation)
 
@@ -171,13 +200,19 @@
         )
         self._service.report_load()
 
+    def _adopt(self, document: configuration.Document, read_s: float) -> None:
+        self.board.exchanger.put_configuration(document.revision, document.text.encode(), read_s)
+        self._offer(document)
+
+    def _offer(self, document: configuration.Document) -> None:
+        result = self.board.configuration.offer(document)
+        logs.event(_logger, "configuration", revision=int(document.revision), result=result)
+        self._service.report_load()
+
     def _on_learned(self, learned: digest.Learned) -> None:
         exchanged = self.board.exchanger.configuration
         if learned.configuration_changed:
-            document = configuration.Document(exchanged.revision, exchanged.document.decode())
-            result = self.board.configuration.offer(document)
-            logs.event(_logger, "configuration", revision=int(document.revision), result=result)
-            self._service.report_load()
+            self._offer(configuration.Document(exchanged.revision, exchanged.document.decode()))
 
 
 def _new_blackboard(own: settings.AgentSettings) -> blackboard.AgentBlackboard:
--- a/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import logging
+import random
 import time
 import typing
 import uuid
 from collections.abc import Callable
 from concurrent import futures
 
-from gentianpaddle_core import blackboard, configuration, ids, object_api, store_steps
-from gentianpaddle_daemon import logs
+from gentianpaddle_core import blackboard, configuration, ids, object_api, store_steps, watchers
+from gentianpaddle_daemon import freshness, logs
 
-WATCH_WAIT_S = 2.0
+WATCH_WAIT_S = 1.0
+"""A watch confirms the view at least this often, well below `watchers.STALE_AFTER_S`."""
 FAILURE_PAUSE_S = 0.5
 
 _logger = logging.getLogger("gentianpaddle.entry.configuration")
@@ -29,16 +31,24 @@
         watch_thread: futures.Executor,
         threads: futures.Executor,
         on_change: Callable[[], None],
+        rng: random.Random,
     ) -> None:
         self._board = board
         self._store = store
         self._watch_thread = watch_thread
         self._threads = threads
         self._on_change = on_change
+        self._freshness = freshness.FreshnessCheck(
+            board.exchanger, board.configuration, store, threads, self._offer, rng
+        )
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            if not self._is_watcher():
+                await self._freshness.check()
+                await asyncio.sleep(freshness.CHECK_PERIOD_S)
+                continue
             began_s = time.monotonic()
             known = int(self._board.configuration.document.revision)
             loop = asyncio.get_running_loop()
@@ -95,6 +105,10 @@
             return configuration.conflict(configuration.Document(revision, ""), present)
         return configuration.ChangeNotAccepted("this entry has not seen the base revision yet")
 
+    def _is_watcher(self) -> bool:
+        chosen = watchers.watchers(self._board.exchanger.table.records())
+        return self._board.own.process.vm in chosen
+
     def _adopt(self, stored: object_api.StoredObject, read_s: float) -> None:
         document = configuration.Document(ids.Revision(stored.version), stored.value.decode())
         self._offer(document, read_s)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -95,7 +95,12 @@
             board, self._agents, self._claims, recorder, self._loop
         )
         self._watch = configuration_watch.ConfigurationWatch(
-            board, self._store, self._watch_thread, self._store_threads, self._configuration_changed
+            board,
+            self._store,
+            self._watch_thread,
+            self._store_threads,
+            self._configuration_changed,
+            rng,
         )
         self._routes = operator.Routes(
             board,
