Keep requests suspect that two crashes cannot tell apart

Cause: copies sent at once put the same bystanders beside the crashing request at both of its first crashes, and both were refused. Change: fingerprints that were in exactly the same crashes stay suspects until a third crash; their next runs are apart, so one completes or crashes alone. Counting uses counters, expired records are looked for once a second, and the bounds are 128 crashes of 128 fingerprints.

--- a/packages/core/src/gentianpaddle_core/quarantine.py
+++ b/packages/core/src/gentianpaddle_core/quarantine.py
@@ -2,9 +2,11 @@
 
 Every crash is one record with the fingerprints that were in progress. Records only grow, so that
 merging them in any order and any number of times gives the same state. A fingerprint is suspect
-while one crash may be its fault and refused when two may be. A crash is no longer held against the
-others once one of its fingerprints is refused for more crashes than they have, so a request that
-only stood beside is freed without a run; a completed run frees it as well.
+while one crash may be its fault and refused when two may be. Fingerprints that were in exactly the
+same crashes cannot be told apart: they remain suspects, whose next runs are apart, until a third
+crash. A crash is no longer held against the others once one of its fingerprints is refused for
+more crashes than they have, so a request that only stood beside is freed without a run; a
+completed run frees it as well.
 """
 
 from __future__ import annotations
@@ -19,11 +21,15 @@
 
 RECORD_AGE_S = 3_600.0
 """Age at which a crash is forgotten."""
-RECORDS_LIMIT = 256
+RECORDS_LIMIT = 128
 """Crashes kept; the oldest is dropped first."""
-FINGERPRINTS_LIMIT = 256
-"""Fingerprints kept of one crash."""
+FINGERPRINTS_LIMIT = 128
+"""Fingerprints kept of one crash; a replica runs about 25 requests at the design size."""
+FORGET_INTERVAL_S = 1.0
+"""Pause between looks for old crashes, which every decision would else make."""
 CRASHES_TO_REFUSE = 2
+CRASHES_TO_REFUSE_TOGETHER = 3
+"""Crashes after which requests are refused that were in exactly the same crashes."""
 REFUSED_CODE = "request_crashes_servers"
 REFUSED_HTTP_STATUS = 422
 
@@ -102,6 +108,7 @@
         self._record_age_s = record_age_s
         self._crash_by_id: dict[str, _Crash] = {}
         self._count_by_fingerprint: dict[ids.Fingerprint, int] | None = None
+        self._next_forget_s = -float("inf")
 
     def decide(self, fingerprint: ids.Fingerprint, now_s: float) -> Decision:
         """Decide where a request may run.
@@ -239,6 +246,9 @@
         return changed
 
     def _forget(self, now_s: float) -> None:
+        if now_s < self._next_forget_s:
+            return
+        self._next_forget_s = now_s + FORGET_INTERVAL_S
         limit_s = now_s - self._record_age_s
         old = [i for i, crash in self._crash_by_id.items() if crash.happened_s <= limit_s]
         for crash_id in old:
@@ -287,14 +297,33 @@
     count_by_fingerprint: dict[ids.Fingerprint, int] = {}
     left = accused
     while left:
-        counts = collections.Counter(fingerprint for crash in left for fingerprint in crash)
+        counts: collections.Counter[ids.Fingerprint] = collections.Counter()
+        for crash in left:
+            counts.update(crash)
         highest = max(counts.values(), default=0)
-        if highest < CRASHES_TO_REFUSE:
-            return count_by_fingerprint | counts
-        at_fault = {fingerprint for fingerprint, count in counts.items() if count == highest}
-        # Of equals, one that crashed a server with no other suspect on it is at fault.
-        alone = {fingerprint for crash in left if len(crash) == 1 for fingerprint in crash}
-        at_fault = at_fault & alone or at_fault
+        at_fault: set[ids.Fingerprint] = set()
+        if highest >= CRASHES_TO_REFUSE:
+            at_fault = _at_fault(left, {f for f, count in counts.items() if count == highest})
+        if not at_fault:
+            return count_by_fingerprint | dict.fromkeys(counts, 1)
         count_by_fingerprint |= dict.fromkeys(at_fault, highest)
         left = [crash for crash in left if not crash & at_fault]
     return count_by_fingerprint
+
+
+def _at_fault(
+    left: list[frozenset[ids.Fingerprint]], most: set[ids.Fingerprint]
+) -> set[ids.Fingerprint]:
+    crashes_by_fingerprint: dict[ids.Fingerprint, list[int]] = {f: [] for f in most}
+    for index, crash in enumerate(left):
+        for fingerprint in crash & most:
+            crashes_by_fingerprint[fingerprint].append(index)
+    count_by_crashes = collections.Counter(map(tuple, crashes_by_fingerprint.values()))
+    told_apart = {
+        fingerprint
+        for fingerprint, crashes in crashes_by_fingerprint.items()
+        if count_by_crashes[tuple(crashes)] == 1 or len(crashes) >= CRASHES_TO_REFUSE_TOGETHER
+    }
+    # Of equals, one that crashed a server with no other suspect on it is at fault.
+    alone = {fingerprint for crash in left if len(crash) == 1 for fingerprint in crash}
+    return told_apart & alone or told_apart
