Compare servers by smoothed load and check targets by the last report

Cause: the larger of smoothed and last reported load also entered the cost, so all entries followed the last report again. Change: only the check against the target between tokens counts the larger one.

--- a/packages/core/src/gentianpaddle_core/routing.py
+++ b/packages/core/src/gentianpaddle_core/routing.py
@@ -388,7 +388,10 @@
             uncached = max(1.0, request.prompt_tokens - cached.get(server, 0.0))
             first_token_s = score.first_token_s(uncached)
             gap_s = score.gap_s()
-            misses = first_token_s > first_target_s or gap_s > GAP_MARGIN * gap_target_s
+            misses = (
+                first_token_s > first_target_s
+                or score.gap_s(cautious=True) > GAP_MARGIN * gap_target_s
+            )
             cost = (
                 first_token_s / target.first_token_s
                 + gap_s / gap_target_s
@@ -419,7 +422,7 @@
         for server in ring.candidates(request.fingerprint, CANDIDATES_LIMIT):
             score = ring.item_by_id[server].score
             full = score.room <= 0 < score.load.limit and server not in request.tried
-            if full and score.gap_s() <= GAP_MARGIN * gap_target_s:
+            if full and score.gap_s(cautious=True) <= GAP_MARGIN * gap_target_s:
                 return True
         return False
 
--- a/packages/core/src/gentianpaddle_core/scoring.py
+++ b/packages/core/src/gentianpaddle_core/scoring.py
@@ -248,9 +248,18 @@
             local_s += excess * self._service_s / max(1, self.load.limit)
         return self._round_trip_s + local_s
 
-    def gap_s(self) -> float:
-        """Expected seconds between tokens of a request that would be sent now."""
-        others = max(0.0, self._other_running, self._other_running_then)
+    def gap_s(self, *, cautious: bool = False) -> float:
+        """Expected seconds between tokens of a request that would be sent now.
+
+        Args:
+            cautious: Count the larger of the smoothed and the last reported load of others. Good
+                for a check against a target; for a comparison of servers it follows the last
+                report too closely.
+
+        Returns:
+            Seconds.
+        """
+        others = max(0.0, self._other_running, self._other_running_then if cautious else 0.0)
         running = others + len(self._sent_by_attempt) + 1
         line = self._lines.gap
         return (line.intercept + line.slope * running) * self._gap_factor
