Give up late requests only on evidence of a slow queue

Cause: a late request was given up when no late request had started within a second, which says nothing on a cold server whose streams take 3 s; a request with 25 s left was told that it would not be reached. Ruled out: the deadline itself, which was 30 s. Change: the rate of late starts counts the first late request as if it started now. The table test expected the early notice after 1.2 s; it now expects it when the time already waited makes the deadline out of reach, with more cases.

--- a/packages/core/src/gentianpaddle_core/admission.py
+++ b/packages/core/src/gentianpaddle_core/admission.py
@@ -155,7 +155,9 @@
 
     def hopeless(self, now_s: float) -> Ticket | None:
         """A late request that the gaps left by the others will not reach in time."""
-        ahead, rate = 0.0, self._late_rate.at(now_s)
+        ahead = 0.0
+        first = next((late for lane in self.lanes() if (late := lane.late()) is not None), None)
+        rate = self._late_rate.at(now_s, first.cost_tokens if first is not None else 0.0)
         for lane in self.lanes():
             ahead += lane.late_tokens
             last = lane.last_late()
