--- a/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
@@ -16,7 +16,6 @@
     claims,
     ids,
     outcomes,
-    prefix_index,
     quarantine,
     retries,
     routing,
@@ -31,41 +30,16 @@
     request,
     settlement,
     sink,
+    turns,
 )
+from gentianpaddle_daemon.entry import pending as pending_requests
 
 RETRY_LOOK_S = 0.05
 CRASH_NEWS_WAIT_S = 0.3
-FIRST_ATTEMPT = ids.Attempt(1)
 
 _logger = logging.getLogger("gentianpaddle.entry.dispatcher")
 
 
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """A request in progress at this entry."""
-
-    checked: request.CallerRequest
-    """The request."""
-    answer: sink.AnswerSink
-    """Where its answer goes."""
-    routed: asyncio.Future[routing.Routed | outcomes.Refused | outcomes.NotRun]
-    """Resolved when its turn in the queue comes."""
-    wanted: routing.Request
-    """Its view for the router."""
-    stream: answer_stream.AnswerStream
-    """Its answer so far."""
-    number: ids.Attempt = FIRST_ATTEMPT
-    """Number of the present attempt."""
-    declines: int = 0
-    """Declines so far."""
-    may_have_run: bool = False
-    """Whether an attempt may have run without its whole answer."""
-    body: bytearray = dataclasses.field(default_factory=bytearray)
-    """Answer of a plain service."""
-    timing: figures.Timing = dataclasses.field(default_factory=figures.Timing)
-    """Times of its tokens."""
-
-
 class Dispatcher:
     """All requests of one entry."""
 
@@ -82,25 +56,18 @@
         self._claims = claim_log
         self._recorder = recorder
         self._loop = loop
-        self._pending_by_ticket: dict[int, Pending] = {}
+        self._turns = turns.Turns(board, linked, loop)
         self._settlement = settlement.Settlement(linked, claim_log)
-        self._pump_handle: asyncio.TimerHandle | None = None
+
+    @property
+    def turns(self) -> turns.Turns:
+        """Queue of waiting requests."""
+        return self._turns
 
     def submit(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
         """Begin to serve a request; called from a serving thread."""
         self._loop.call(self._begin, checked, answer)
 
-    def capacity_changed(self) -> None:
-        """Give waiting requests their turn."""
-        for model in self._board.admission.models():
-            self._pump(model)
-
-    def expire(self) -> None:
-        """Refuse requests whose deadline passed while they waited."""
-        for ticket in self._board.admission.expire(time.monotonic()):
-            late = outcomes.NotRun("deadline", "no capacity before the deadline", 1.0)
-            self._resolve(ticket, late)
-
     def _begin(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
         self._board.in_progress += 1
         task = self._loop.loop.create_task(self._serve(checked, answer))
@@ -108,7 +75,7 @@
             answer.on_abandon(lambda: self._loop.call(task.cancel))
 
     async def _serve(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> None:
-        pending = self._new_pending(checked, answer)
+        pending = pending_requests.new_pending(checked, answer, self._loop.loop)
         try:
             outcome = await self._outcome(pending)
         except asyncio.CancelledError:
@@ -122,22 +89,7 @@
         self._recorder.finished(checked, outcome, pending.timing, int(pending.number))
         answer.put(sink.Finish(outcome))
 
-    def _new_pending(self, checked: request.CallerRequest, answer: sink.AnswerSink) -> Pending:
-        prompt = f"{checked.target}\n{checked.prompt}".encode()
-        wanted = routing.Request(
-            model=checked.target,
-            fingerprint=checked.fingerprint,
-            class_of_work=checked.work_class,
-            arrived_s=checked.received_s,
-            prompt_tokens=checked.prompt_tokens if checked.is_chat else 0,
-            prefix_hashes=prefix_index.prefix_hashes(prompt) if checked.is_chat else (),
-        )
-        stream = answer_stream.new_answer_stream(
-            checked.key, ids.Attempt(1), resumable=checked.is_chat
-        )
-        return Pending(checked, answer, self._loop.loop.create_future(), wanted, stream)
-
-    async def _outcome(self, pending: Pending) -> outcomes.Outcome:
+    async def _outcome(self, pending: pending_requests.Pending) -> outcomes.Outcome:
         checked = pending.checked
         if not checked.idempotent:
             known = await self._known_outcome(checked)
@@ -146,7 +98,7 @@
         refused = self._quarantined(checked)
         if refused is not None:
             return refused
-        first = await self._wait_turn(pending)
+        first = await self._turns.wait(pending)
         if not isinstance(first, routing.Routed):
             return first
         self._board.budget.first_attempt()
@@ -180,101 +132,8 @@
             return None
         return settled
 
-    async def _wait_turn(
-        self, pending: Pending
-    ) -> routing.Routed | outcomes.Refused | outcomes.NotRun:
-        checked = pending.checked
-        now_s = time.monotonic()
-        cost = float(checked.prompt_tokens + checked.answer_tokens) if checked.is_chat else 1.0
-        queue = self._board.admission
-        offered = queue.offer(checked.target, checked.organisation, checked.work_class, cost, now_s)
-        if isinstance(offered, admission.Refused):
-            return _turned_away(offered)
-        if offered.displaced is not None:
-            self._resolve(offered.displaced.ticket, _turned_away(offered.displaced.refused))
-        self._pending_by_ticket[offered.ticket.number] = pending
-        try:
-            self._pump(checked.target)
-            return await pending.routed
-        finally:
-            self._pending_by_ticket.pop(offered.ticket.number, None)
-            queue.cancel(offered.ticket, time.monotonic())
-
-    def _pump(self, model: ids.ModelName) -> None:
-        now_s = time.monotonic()
-        while True:
-            ticket = self._board.admission.next_ready(model, now_s)
-            if ticket is None:
-                return
-            pending = self._pending_by_ticket[ticket.number]
-            decision = self._board.router.choose(pending.wanted, now_s)
-            if isinstance(decision, routing.Wait):
-                self._agents.demand_rose()
-                self._pump_later(decision.until_s)
-                return
-            if isinstance(decision, routing.NoCapacity):
-                if now_s < ticket.deadline_s and decision.reason is routing.Reason.NO_SERVER:
-                    self._pump_later(now_s + RETRY_LOOK_S)
-                    return
-                self._board.admission.cancel(ticket, now_s)
-                self._log_refusal(pending, decision)
-                self._resolve(ticket, _no_capacity(decision))
-                continue
-            self._board.admission.take(ticket, now_s)
-            self._count_sent(pending, decision, now_s)
-            self._resolve(ticket, decision)
-
-    def _pump_later(self, at_s: float) -> None:
-        if self._pump_handle is not None:
-            self._pump_handle.cancel()
-        delay_s = max(0.001, at_s - time.monotonic())
-        self._pump_handle = self._loop.loop.call_later(delay_s, self.capacity_changed)
-
-    def _resolve(
-        self,
-        ticket: admission.Ticket,
-        result: routing.Routed | outcomes.Refused | outcomes.NotRun,
-    ) -> None:
-        pending = self._pending_by_ticket.get(ticket.number)
-        if pending is not None and not pending.routed.done():
-            pending.routed.set_result(result)
-
-    def _count_sent(self, pending: Pending, routed: routing.Routed, now_s: float) -> None:
-        self._board.router.sent(
-            routed.backend_server,
-            (pending.checked.key, pending.number),
-            pending.wanted,
-            routed.uncached_tokens,
-            now_s,
-        )
-        checked = pending.checked
-        logs.event(
-            _logger,
-            "routed",
-            key=checked.key,
-            attempt=pending.number,
-            class_name=checked.work_class.name,
-            organisation=checked.organisation,
-            backend_server=routed.backend_server,
-            reason=routed.reason,
-            candidates=routed.candidates,
-            predicted_first_token_s=routed.first_token_s,
-            predicted_gap_s=routed.gap_s,
-        )
-
-    def _log_refusal(self, pending: Pending, decision: routing.NoCapacity) -> None:
-        logs.event(
-            _logger,
-            "not_routed",
-            key=pending.checked.key,
-            class_name=pending.checked.work_class.name,
-            organisation=pending.checked.organisation,
-            reason=decision.reason,
-            retry_after_s=decision.retry_after_s,
-        )
-
     async def _run_attempt(
-        self, pending: Pending, routed: routing.Routed
+        self, pending: pending_requests.Pending, routed: routing.Routed
     ) -> attempt.Ended | outcomes.Outcome:
         agent = self._board.vm_by_backend_server[routed.backend_server]
         sent = (pending.checked.key, pending.number)
@@ -290,11 +149,11 @@
         finally:
             gap_s = pending.timing.gap_s()
             self._board.router.finished(routed.backend_server, sent, gap_s, time.monotonic())
-            self._loop.loop.call_soon(self.capacity_changed)
+            self._loop.loop.call_soon(self._turns.capacity_changed)
 
     async def _run_claimed(
         self,
-        pending: Pending,
+        pending: pending_requests.Pending,
         routed: routing.Routed,
         through: link.AgentLink,
         incarnation: ids.Incarnation,
@@ -319,7 +178,7 @@
         return settled
 
     async def _claim(
-        self, pending: Pending, agent: ids.VmId, incarnation: ids.Incarnation
+        self, pending: pending_requests.Pending, agent: ids.VmId, incarnation: ids.Incarnation
     ) -> claim_records.Claim | outcomes.Outcome:
         checked = pending.checked
         wanted = claims.ClaimRequest(checked.key, agent, incarnation, checked.fingerprint)
@@ -339,7 +198,7 @@
 
     def _attempt(
         self,
-        pending: Pending,
+        pending: pending_requests.Pending,
         routed: routing.Routed,
         through: link.AgentLink,
         incarnation: ids.Incarnation,
@@ -357,13 +216,15 @@
             plan, through, pending.stream, lambda d, n: self._deliver(pending, routed, d, n)
         )
 
-    def _patience_s(self, pending: Pending, routed: routing.Routed) -> float:
+    def _patience_s(self, pending: pending_requests.Pending, routed: routing.Routed) -> float:
         """Time at which an attempt without a first token is replaced, within the budget."""
         expected_s = max(retries.HEDGE_MINIMUM_S, retries.HEDGE_FACTOR * routed.first_token_s)
         longest_s = max(expected_s, pending.checked.work_class.first_token_s)
         return time.monotonic() + longest_s
 
-    def _deliver(self, pending: Pending, routed: routing.Routed, data: bytes, tokens: int) -> None:
+    def _deliver(
+        self, pending: pending_requests.Pending, routed: routing.Routed, data: bytes, tokens: int
+    ) -> None:
         now_s = time.monotonic()
         first = pending.timing.add(data, tokens, now_s)
         if first:
@@ -376,7 +237,7 @@
 
     async def _after(
         self,
-        pending: Pending,
+        pending: pending_requests.Pending,
         routed: routing.Routed,
         ended: attempt.Ended | outcomes.Outcome,
     ) -> routing.Routed | outcomes.Outcome:
@@ -397,7 +258,7 @@
 
     async def _retry(
         self,
-        pending: Pending,
+        pending: pending_requests.Pending,
         routed: routing.Routed,
         ended: attempt.ProvenNotRun | attempt.MayHaveRun,
     ) -> routing.Routed | outcomes.Outcome:
@@ -438,7 +299,7 @@
         return decision.outcome() if isinstance(decision, quarantine.Refuse) else None
 
     async def _route_again(
-        self, pending: Pending, routed: routing.Routed
+        self, pending: pending_requests.Pending, routed: routing.Routed
     ) -> routing.Routed | outcomes.Outcome:
         pending.number = ids.Attempt(pending.number + 1)
         resumed = pending.stream.resume(pending.number) if pending.checked.is_chat else None
@@ -454,7 +315,7 @@
             now_s = time.monotonic()
             decision = self._board.router.choose(pending.wanted, now_s)
             if isinstance(decision, routing.Routed) and self._can_continue(pending, decision):
-                self._count_sent(pending, decision, now_s)
+                self._turns.count_sent(pending, decision, now_s)
                 return decision
             if now_s >= pending.checked.deadline_s:
                 return _late(pending)
@@ -463,27 +324,12 @@
                 pending.wanted = dataclasses.replace(pending.wanted, tried=frozenset())
             await asyncio.sleep(RETRY_LOOK_S)
 
-    def _can_continue(self, pending: Pending, routed: routing.Routed) -> bool:
+    def _can_continue(self, pending: pending_requests.Pending, routed: routing.Routed) -> bool:
         if pending.stream.delivered_bytes == 0:
             return True
         return self._agents.can_resume(self._board.vm_by_backend_server[routed.backend_server])
 
 
-def _turned_away(refused: admission.Refused) -> outcomes.Refused:
-    return outcomes.Refused(
-        f"admission_{refused.reason}",
-        "not enough capacity for this class now",
-        http.HTTPStatus.TOO_MANY_REQUESTS,
-        refused.retry_after_s,
-    )
-
-
-def _no_capacity(decision: routing.NoCapacity) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        f"no_capacity_{decision.reason}", "no backend server can serve it", decision.retry_after_s
-    )
-
-
 def _key_reused() -> outcomes.Refused:
     message = "this Idempotency-Key was used for another request"
     return outcomes.Refused("key_reused", message, http.HTTPStatus.UNPROCESSABLE_ENTITY)
@@ -500,13 +346,15 @@
     return found.outcome if same else _key_reused()
 
 
-def _late(pending: Pending) -> outcomes.NotRun | outcomes.Unknown:
+def _late(pending: pending_requests.Pending) -> outcomes.NotRun | outcomes.Unknown:
     if pending.may_have_run:
         return outcomes.Unknown("deadline", "no whole answer before the deadline")
     return outcomes.NotRun("deadline", "no backend server ran it before the deadline", 1.0)
 
 
-def _given_up(pending: Pending, reason: str, why: retries.GiveUp) -> outcomes.Outcome:
+def _given_up(
+    pending: pending_requests.Pending, reason: str, why: retries.GiveUp
+) -> outcomes.Outcome:
     code = f"{reason}_{why.reason}"
     if pending.may_have_run:
         return outcomes.Unknown(code, "it may have run without a whole answer", 1.0)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -200,11 +200,11 @@
 
     async def _expire(self) -> None:
         while True:
-            self._dispatcher.expire()
+            self._dispatcher.turns.expire()
             await asyncio.sleep(EXPIRE_PERIOD_S)
 
     def _capacity_changed(self) -> None:
-        self._dispatcher.capacity_changed()
+        self._dispatcher.turns.capacity_changed()
 
     def _configuration_changed(self) -> None:
         declaration = self.board.configuration.declaration
@@ -212,7 +212,7 @@
             self.board.router.set_out(declaration.data_centres_out, declaration.vms_out)
         # Agents learn from the heartbeat whether they are out, without waiting for the exchange.
         self._agents.send_heartbeats()
-        self._dispatcher.capacity_changed()
+        self._dispatcher.turns.capacity_changed()
 
     def _on_learned(self, learned: digest.Learned) -> None:
         for record in learned.records:
--- a/packages/daemon/src/gentianpaddle_daemon/entry/request.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/request.py
@@ -163,6 +163,8 @@
     try:
         body = json.loads(raw.body)
         prompt = _prompt(body)
+        # Half of a surrogate pair is valid JSON and no valid text.
+        prompt.encode()
         answer_tokens = int(body.get("max_tokens", DEFAULT_ANSWER_TOKENS))
         model = ids.ModelName(str(body["model"]))
         streamed = body.get("stream", False)
