Contact seeds that no known member has

Cause: seeds were contacted only while no live entry was known, so a starting fleet could form two groups, each with live entries, that never met; status, out and back then counted one group only. Ruled out: refused connections and the send budget; the groups sent no request to each other at all.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -10,11 +10,10 @@
 import sys
 from collections.abc import Callable, Iterable
 
+from benchmarks import membership_fleet
 from gentianpaddle_core import ids, membership
 from gentianpaddle_core import watchers as watching
 
-from benchmarks import membership_fleet
-
 SIZES = (8, 64, 360)
 SEEDS = (1, 2, 3, 4, 5)
 SETTLE_S = 12.0
--- a/packages/core/src/gentianpaddle_core/digest.py
+++ b/packages/core/src/gentianpaddle_core/digest.py
@@ -290,9 +290,11 @@
         ]
         lost = [record for record in entries if record.state is membership.State.DEAD]
         addresses = [settings.Address(record.host, record.port) for record in lost]
-        if len(lost) == len(entries):
-            own_address = settings.Address(own.host, own.port)
-            addresses += [seed for seed in self._seeds if seed != own_address]
+        # A seed that no member has may belong to a part of the fleet that started apart.
+        known = {(record.host, record.port) for record in (own, *entries)}
+        unknown = [seed for seed in self._seeds if (seed.host, seed.port) not in known]
+        if unknown or len(lost) == len(entries):
+            addresses += unknown
         elif rng.random() * (len(entries) - len(lost)) > LOST_MEMBER_TRIES * len(lost):
             return []
         if not addresses:
--- a/packages/core/tests/test_digest.py
+++ b/packages/core/tests/test_digest.py
@@ -6,6 +6,10 @@
 import random
 
 import pytest
+from hypothesis import given, stateful
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
 from gentianpaddle_core import (
     configuration_parts,
     crash_exchange,
@@ -16,9 +20,6 @@
     neighbours,
     settings,
 )
-from hypothesis import given, stateful
-from hypothesis import settings as hypothesis_settings
-from hypothesis import strategies as st
 
 State = membership.State
 SIZE = 6
@@ -213,3 +214,28 @@
         digest_messages.CrashRecord(ids.Fingerprint("f"), 2, 7.0, False),
     )
     assert held.records(4_000.0) == ()
+
+
+@pytest.mark.parametrize("apart", [((0, 1), (2, 3)), ((0, 1, 2), (3,))])
+def test_groups_that_started_apart_find_each_other(apart: tuple[tuple[int, ...], ...]):
+    """Guards against a fleet that stays split because each group knows a live entry."""
+    rng = random.Random(1)
+    seeds = tuple(settings.Address("127.0.0.1", 7000 + index) for index in range(4))
+    members = {i: digest.new_exchanger(own_record(i), seeds, 0.0) for group in apart for i in group}
+
+    def run_round(now_s: float, groups: tuple[tuple[int, ...], ...]) -> None:
+        for group in groups:
+            for index in group:
+                for outgoing in members[index].build_requests(now_s, rng):
+                    peer = outgoing.address.port - 7000
+                    if peer in group:
+                        reply = members[peer].handle_request(outgoing.request, now_s, rng)
+                        members[index].handle_reply(outgoing, reply, now_s)
+                    else:
+                        members[index].handle_failure(outgoing, refused=True)
+
+    for step in range(8):
+        run_round(step * 0.5, apart)
+    for step in range(8, 48):
+        run_round(step * 0.5, ((0, 1, 2, 3),))
+    assert [len(list(member.table.records())) for member in members.values()] == [4] * 4
