Keep a renewed grant from outlasting a fall of the limit

Cause: while the sum of grants still exceeded a fallen limit, an entry with an earlier, larger grant could have a smaller one renewed; it then outlived the earlier one, and the sum stayed above the limit for more than 2 s. Change: while the sum exceeds the limit, no entry gets more than in its last issue. The case is a table test now. Conclusion: the sum falls to the limit within the lifetime of a grant.

--- a/packages/core/src/gentianpaddle_core/capacity.py
+++ b/packages/core/src/gentianpaddle_core/capacity.py
@@ -317,12 +317,16 @@
         shares = divide(limit, [entry.demand for entry in live.values()])
         held = [(e.outstanding(now_s), e.running) for e in self._entry_by_id.values()]
         ungranted = max(0, limit - sum(outstanding for outstanding, _ in held))
+        exceeded = sum(outstanding for outstanding, _ in held) > limit
         free = max(0, limit - sum(max(pair) for pair in held))
         grants = []
         for (name, entry), share in zip(live.items(), shares, strict=True):
             before = entry.outstanding(now_s)
             committed = max(before, entry.running)
             amount = min(share.amount, before + ungranted, committed + free)
+            if exceeded:
+                # Renewing an earlier, larger grant would outlast the fall of the limit.
+                amount = min(amount, entry.issued[-1].amount if entry.issued else 0)
             ungranted -= max(0, amount - before)
             free -= max(0, amount - committed)
             if not share.rotates or amount < share.amount:
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -196,6 +196,16 @@
     assert target.view(now_s).outstanding == 9
 
 
+def test_renewal_after_a_fall_does_not_outlast_it():
+    target = warm(8, maximum=8)
+    for now_s, demands in ((0.0, (7, 1)), (0.5, (9, 0)), (1.0, (1, 9))):
+        for entry, demand in zip((E1, E2), demands, strict=True):
+            target.hear(now_s, entry, demand)
+        target.refresh(now_s)
+        target.set_maximum(now_s, 2)
+    assert target.view(capacity.GRANT_LIFETIME_S).outstanding <= 2
+
+
 def test_entry_stops_using_a_grant_before_the_agent_stops_counting_it():
     held = capacity.new_held_grant()
     held.receive(capacity.GRANT_MARGIN_S, 3, 1)
