--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -9,7 +9,7 @@
 import functools
 import sys
 
-from benchmarks import fakes, fleet
+from benchmarks import fakes, figures, fleet
 from gentianpaddle_core import ids
 
 MULTIPLES = (1.0, 1.5, 2.0, 3.0)
@@ -111,11 +111,45 @@
     return rate
 
 
+def measure(seed: int = 1) -> list[figures.Figure]:
+    """Measure the figures that have bounds.
+
+    Args:
+        seed: Seed of the arrivals.
+
+    Returns:
+        Figures of goodput and fairness.
+    """
+    bounds = figures.bounds("admission")
+    guard = "tests/test_benchmark_routing.py::"
+    measured = [
+        figures.Figure(
+            f"goodput at {each.multiple:g}x of peak",
+            each.of_peak,
+            "share",
+            bounds["goodput_at_3x_of_peak_min"] if each.multiple == max(MULTIPLES) else None,
+            figures.Sense.AT_LEAST,
+            guard + "test_goodput_under_overload",
+        )
+        for each in run_goodput(seed)
+    ]
+    fairness = run_fairness(seed)
+    small = figures.Figure(
+        "in target, small organisation beside a large one",
+        fairness.small_in_target,
+        "share",
+        bounds["small_organisation_in_target_min"],
+        figures.Sense.AT_LEAST,
+        guard + "test_small_organisation_beside_a_large_one",
+    )
+    return [*measured, small]
+
+
 def main() -> None:
     """Run and print everything."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
-    for figures in run_goodput(seed):
-        print(figures)
+    for goodput in run_goodput(seed):
+        print(goodput)
     print(run_fairness(seed))
 
 
--- a/benchmarks/evacuation.py
+++ b/benchmarks/evacuation.py
@@ -10,6 +10,7 @@
 import enum
 import random
 
+from benchmarks import figures
 from gentianpaddle_core import evacuation, ids
 
 RUNS = 40
@@ -192,6 +193,40 @@
     stream.gone = True
 
 
+def measure(seed: int = 1) -> list[figures.Figure]:
+    """Measure the figures that have bounds.
+
+    Args:
+        seed: Seed of the streams.
+
+    Returns:
+        Cut streams, and pauses beside those of the simple ways.
+    """
+    bounds = figures.bounds("evacuation")
+    test = f"tests/test_benchmark_evacuation.py::test_chosen_ways_against_simple_ways[{seed}]"
+    result = run(seed)
+    measured = []
+    for name, chosen in (
+        ("with export", result.chosen),
+        ("without export", result.chosen_without_export),
+    ):
+        values = (
+            ("cut streams", chosen.cut, "streams", "cut_streams"),
+            (
+                "p95 pause to resuming in turn",
+                chosen.p95_s / result.resume_in_turn.p95_s,
+                "ratio",
+                "p95_over_resume_in_turn",
+            ),
+            ("p95 pause to waiting", chosen.p95_s / result.wait.p95_s, "ratio", "p95_over_wait"),
+        )
+        measured += [
+            figures.Figure(f"{label}, {name}", value, unit, bounds[key], guard=test)
+            for label, value, unit, key in values
+        ]
+    return measured
+
+
 def main() -> None:
     """Print the figures."""
     for name, pauses in dataclasses.asdict(run()).items():
--- a/benchmarks/expert_placement.py
+++ b/benchmarks/expert_placement.py
@@ -12,6 +12,7 @@
 import typing
 from collections.abc import Iterator
 
+from benchmarks import figures
 from gentianpaddle_core import expert_placement, expert_popularity
 
 EXPERTS = 64
@@ -178,6 +179,41 @@
     )
 
 
+def measure(seed: int = SEED) -> list[figures.Figure]:
+    """Measure the figures that have bounds.
+
+    Args:
+        seed: Seed of the popularity.
+
+    Returns:
+        Skew and bytes of the dawn rush by ranks and spare memory.
+    """
+    bounds = figures.bounds("expert_placement")
+    test = "tests/test_benchmark_placement.py::test_{}_of_the_dawn_rush[{}-{}]"
+    measured = []
+    for ranks, spare in CASES:
+        full = run("dawn_rush", "full", ranks, spare, seed)
+        result = run("dawn_rush", "incremental", ranks, spare, seed)
+        size = f"{ranks} ranks, spare memory {spare}"
+        measured += [
+            figures.Figure(
+                f"mean skew, {size}",
+                result.mean_skew,
+                "ratio",
+                bounds["skew"],
+                guard=test.format("skew", ranks, spare),
+            ),
+            figures.Figure(
+                f"moved bytes beside full solving, {size}",
+                result.moved_bytes / full.moved_bytes,
+                "ratio",
+                bounds["bytes_share"],
+                guard=test.format("bytes", ranks, spare),
+            ),
+        ]
+    return measured
+
+
 def main() -> None:
     """Print all figures."""
     print(
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Callable, Iterable
 
-from benchmarks import membership_fleet
+from benchmarks import figures, membership_fleet
 from gentianpaddle_core import ids, membership
 
 SIZES = (8, 64, 360)
@@ -230,12 +230,40 @@
     )
 
 
+def measure(seed: int = 1) -> list[figures.Figure]:
+    """Measure the exchange at the sizes that run in seconds.
+
+    Args:
+        seed: Seed of all randomness.
+
+    Returns:
+        Figures by number of members.
+    """
+    bounds = figures.bounds("membership")
+    measured = []
+    for members in SIZES:
+        result = run(members, seed)
+        values = (
+            ("leaving mark everywhere", result.leaving_s, "s", "leaving_s_max"),
+            ("revision everywhere", result.revision_s, "s", "revision_s_max"),
+            ("traffic at rest", result.rest_both_bytes_s, "B/s", "bytes_s_max"),
+            ("processor time at rest", result.processor_ms_s, "ms/s", "processor_ms_s_max"),
+            ("peak traffic", result.peak_both_bytes_s, "B/s", None),
+            ("death known everywhere", result.death_s, "s", None),
+        )
+        measured += [
+            figures.Figure(f"{name}, {members} members", value, unit, bounds[key] if key else None)
+            for name, value, unit, key in values
+        ]
+    return measured
+
+
 def main() -> None:
     """Print the figures of all sizes, the median and the maximum over the seeds."""
     for members in SIZES:
-        figures = [run(members, seed) for seed in SEEDS]
+        results = [run(members, seed) for seed in SEEDS]
         for field in dataclasses.fields(Figures):
-            values = [getattr(item, field.name) for item in figures]
+            values = [getattr(item, field.name) for item in results]
             line = f"{members:4} {field.name:20} p50 {statistics.median(values):10.3f}"
             sys.stdout.write(f"{line} max {max(values):10.3f}\n")
         cut_s = 3_600.0 if members == min(SIZES) else 120.0
--- a/benchmarks/model_placement.py
+++ b/benchmarks/model_placement.py
@@ -10,6 +10,7 @@
 import math
 import random
 
+from benchmarks import figures
 from gentianpaddle_core import ids, model_placement
 
 MODELS = 15
@@ -152,6 +153,29 @@
     return Result(served / total, loaded_bytes, loads)
 
 
+def measure(seed: int = SEED) -> list[figures.Figure]:
+    """Measure the figures that have bounds.
+
+    Args:
+        seed: Seed of the demand.
+
+    Returns:
+        Demand in target while models follow the demand, and with fixed models.
+    """
+    test = f"tests/test_benchmark_placement.py::test_models_follow_the_demand_of_the_day[{seed}]"
+    return [
+        figures.Figure(
+            "demand of a day in target, models follow",
+            run("following", seed).in_target,
+            "share",
+            figures.bounds("model_placement")["in_target"],
+            figures.Sense.AT_LEAST,
+            test,
+        ),
+        figures.Figure("demand of a day in target, fixed", run("fixed", seed).in_target, "share"),
+    ]
+
+
 def main() -> None:
     """Print all figures."""
     print(f"{'policy':12}{'seed':>5}{'in target':>11}{'loads':>7}{'TB':>8}")
--- a/benchmarks/retries.py
+++ b/benchmarks/retries.py
@@ -8,7 +8,7 @@
 import dataclasses
 import sys
 
-from benchmarks import fleet
+from benchmarks import figures, fleet
 
 GONE_AT_S = 10.0
 LOADS = (0.5, 0.9)
@@ -66,6 +66,29 @@
     )
 
 
+def measure(seed: int = 1) -> list[figures.Figure]:
+    """Measure the figures that have bounds.
+
+    Args:
+        seed: Seed of the arrivals.
+
+    Returns:
+        Extra load by offered load.
+    """
+    bound = figures.bounds("retries")["extra_with_a_third_gone_max"]
+    test = "tests/test_benchmark_routing.py::test_extra_load_from_retries"
+    return [
+        figures.Figure(
+            f"extra load from retries, a third gone at load {load}",
+            run(seed, load).extra,
+            "share",
+            bound,
+            guard=f"{test}[{load}]",
+        )
+        for load in LOADS
+    ]
+
+
 def main() -> None:
     """Run and print everything."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from benchmarks import fakes, fleet
+from benchmarks import fakes, figures, fleet
 from gentianpaddle_core import ids, routing, scoring
 
 LOADS = (0.5, 0.8, 0.95, 1.2)
@@ -196,6 +196,64 @@
     return times
 
 
+def measure(seed: int = 1) -> list[figures.Figure]:
+    """Measure the figures that have bounds.
+
+    Args:
+        seed: Seed of arrivals and fleet.
+
+    Returns:
+        Figures of a slow server, of a data centre that leaves, and of the decision time.
+    """
+    bounds = figures.bounds("routing")
+    guard = "tests/test_benchmark_routing.py::"
+    share, other = (
+        run_case(seed, Fault.SLOW, 0.95, policy).figures.in_target
+        for policy in (fleet.Policy.EXPECTED_TIME, fleet.Policy.LEAST_OUTSTANDING)
+    )
+    misses = (1.0 - share) / (1.0 - other) if other < 1.0 else float(share < 1.0)
+    out = run_out(seed, fleet.Policy.EXPECTED_TIME)
+    slow, leaves = guard + "test_slow_server", guard + "test_data_centre_leaves_and_returns"
+    measured = [
+        figures.Figure(
+            "in target, one slow server at 95 % load",
+            share,
+            "share",
+            bounds["slow_in_target_min"],
+            figures.Sense.AT_LEAST,
+            slow,
+        ),
+        figures.Figure(
+            "misses beside least-outstanding routing",
+            misses,
+            "ratio",
+            bounds["slow_misses_of_least_outstanding_max"],
+            guard=slow,
+        ),
+        figures.Figure(
+            "in target, worst second of a leaving data centre",
+            out.worst_second,
+            "share",
+            bounds["worst_second_in_target_min"],
+            figures.Sense.AT_LEAST,
+            leaves,
+        ),
+        figures.Figure("cut requests", out.cut, "requests", bounds["out_cut_max"], guard=leaves),
+        figures.Figure(
+            "starts 5 s after leaving",
+            out.late_starts,
+            "attempts",
+            bounds["out_late_starts_max"],
+            guard=leaves,
+        ),
+    ]
+    for time_of in decision_times(seed):
+        bound = bounds["decision_micros_max"] if time_of.servers == max(FLEET_SIZES) else None
+        name = f"decision at {time_of.servers} servers"
+        measured.append(figures.Figure(name, time_of.micros, "us", bound))
+    return measured
+
+
 def main() -> None:
     """Run and print everything."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
