--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 STAMP := $(VENV)/.installed
 
-.PHONY: venv format lint test bench capacity soak demo generate
+.PHONY: venv format lint test bench timing capacity soak demo generate
 
 venv: $(STAMP)
 
@@ -35,6 +35,9 @@
 soak: venv
 	HYPOTHESIS_PROFILE=soak $(BIN)/pytest -q -m "not slow" packages
 
+timing: venv
+	$(BIN)/pytest -q benchmarks/timing --benchmark-enable --benchmark-columns=median,iqr,rounds
+
 capacity: venv
 	$(BIN)/python -m benchmarks.capacity
 
