Carry out orders of lease holders at the agent

Cause: Agent.Order answered "unsupported" to every order, although core could check fences and settle repeats.

Change: agent/ordering.py serves READ_BACK, LOAD_MODEL and CHANGE_ROLE. It refuses old fences, drains running attempts, checks the fence again just before the backend server is told and settles a lost answer by reading back. The agent admits nothing new from the order until the next health check; after a change the limit starts from 1. The stand-in engine answers GET /model and POST /orders.

The fences that an agent has seen are lost with its restart.

--- a/packages/core/src/gentianpaddle_core/blackboard.py
+++ b/packages/core/src/gentianpaddle_core/blackboard.py
@@ -47,6 +47,8 @@
     """Requests in progress when a call broke, until the next health check judges it."""
     leaving: bool = False
     """Whether the process is being stopped."""
+    order_in_progress: bool = False
+    """Whether an order is being carried out, during which no health check ends a suspension."""
     out_revision: ids.Revision = _NO_REVISION
     """Highest revision that an entry reported."""
     out_by_entry: bool = False
--- a/packages/core/src/gentianpaddle_core/capacity.py
+++ b/packages/core/src/gentianpaddle_core/capacity.py
@@ -47,6 +47,7 @@
     CACHE_LOST = "cache_lost"
     RATE_FELL = "rate_fell"
     ENGINE_LOST = "engine_lost"
+    NEW_VERSION = "new_version"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/gentianpaddle_core/orders.py
+++ b/packages/core/src/gentianpaddle_core/orders.py
@@ -24,6 +24,10 @@
     """The same order is being carried out; ask again."""
     BUSY = "busy"
     """Another order is being carried out."""
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    """The backend server could not be read, so nothing was ordered."""
+    UNSUPPORTED = "unsupported"
+    """The agent does not know the kind of order, or serves another model."""
     BACKEND_REFUSED = "backend_refused"
     NOT_CONFIRMED = "not_confirmed"
     """The backend server took the order but runs something else."""
@@ -74,6 +78,33 @@
         self._result_by_order: dict[str, tuple[bool, OrderReason | None]] = {}
         self._current: tuple[str, ids.GroupId, ids.Fence, Running] | None = None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether an order is being carried out."""
+        return self._current is not None
+
+    def observe(self, group: ids.GroupId, fence: ids.Fence) -> bool:
+        """Note the fencing number of a holder that reads back, before anything is read.
+
+        An order of an earlier holder that was not yet passed on is then refused, so that what is
+        read does not change behind the new holder.
+
+        Args:
+            group: Group whose lease holder asks.
+            fence: Fencing number of the lease.
+
+        Returns:
+            False when a later holder is known.
+        """
+        if fence < self._fence_by_group.get(group, ids.Fence(0)):
+            return False
+        self._fence_by_group[group] = fence
+        return True
+
+    def highest_fence(self, group: ids.GroupId) -> ids.Fence:
+        """Return the highest fencing number seen for a group."""
+        return self._fence_by_group.get(group, ids.Fence(0))
+
     def check(
         self, order_id: str, group: ids.GroupId, fence: ids.Fence, wanted: Running
     ) -> Verdict:
--- a/packages/daemon/src/gentianpaddle_daemon/agent/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/process.py
@@ -31,7 +31,7 @@
     object_api_http,
     store_client,
 )
-from gentianpaddle_daemon.agent import backend, runner, service
+from gentianpaddle_daemon.agent import backend, ordering, runner, service
 
 LOAD_PERIOD_S = 0.5
 HEALTH_PERIOD_S = 0.5
@@ -56,13 +56,20 @@
         self._health_thread = futures.ThreadPoolExecutor(1, "backend-health")
         # Apart from the health checks, which a slow object API must not hold up.
         self._store_thread = futures.ThreadPoolExecutor(1, "object-api")
+        self._order_thread = futures.ThreadPoolExecutor(1, "backend-orders")
         self._failed_checks = 0
         self._check_now = asyncio.Event()
         self.board = _new_blackboard(own)
         self._attempts = runner.new_runner(
             self.board, self._server, self._loop, self._metrics, self._suspect_backend
         )
-        self._service = service.AgentService(self.board, self._attempts, self._metrics)
+        orders = ordering.Ordering(
+            self.board,
+            ordering.HttpOrders(own.backend_url),
+            self._order_thread,
+            self._capacity_ordered,
+        )
+        self._service = service.AgentService(self.board, self._attempts, self._metrics, orders)
         self._exchange = exchange.PeerExchange(
             self.board.exchanger,
             own.process.shared_tokens,
@@ -105,6 +112,7 @@
         self._attempts.close()
         self._health_thread.shutdown(wait=False)
         self._store_thread.shutdown(wait=False)
+        self._order_thread.shutdown(wait=False)
 
     async def _start(self) -> None:
         address = self.board.own.process.listen
@@ -156,6 +164,10 @@
         self._service.report_load()
         self._check_now.set()
 
+    def _capacity_ordered(self) -> None:
+        self._service.report_load()
+        self._check_now.set()
+
     def _apply_health(self, health: backend.Health | None) -> None:
         now_s = time.monotonic()
         board = self.board
@@ -168,6 +180,9 @@
                 self._service.report_load()
             return
         self._failed_checks = 0
+        if board.order_in_progress:
+            # A report would end the suspension while the backend server is loading.
+            return
         report = capacity.EngineReport(
             incarnation=health.incarnation,
             step_s=health.step_s or None,
--- a/packages/daemon/src/gentianpaddle_daemon/agent/service.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/service.py
@@ -12,7 +12,7 @@
 
 from gentianpaddle_core import blackboard, ids, ledger, quarantine
 from gentianpaddle_daemon import logs, metrics, security, wire_crashes
-from gentianpaddle_daemon.agent import links, runner
+from gentianpaddle_daemon.agent import links, ordering, runner
 from gentianpaddle_daemon.wire import messages_grpc
 from gentianpaddle_daemon.wire import messages_pb2 as pb
 
@@ -40,10 +40,12 @@
         board: blackboard.AgentBlackboard,
         attempts: runner.Runner,
         process_metrics: metrics.Metrics,
+        orders: ordering.Ordering,
     ) -> None:
         self._board = board
         self._attempts = attempts
         self._metrics = process_metrics
+        self._orders = orders
         self.link_by_entry: dict[ids.VmId, links.EntryLink] = {}
         self._report_handle: asyncio.TimerHandle | None = None
 
@@ -71,8 +73,9 @@
     ) -> None:
         """Serve a fenced order of the lease holder of a group."""
         security.require(stream.metadata, self._board.own.process.shared_tokens)
-        await stream.recv_message()
-        await stream.send_message(pb.OrderReply(accepted=False, reason="unsupported"))
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._orders.serve(request))
 
     def report_load(self, *, changed_only: bool = False) -> None:
         """Issue grants and send the load report to entries.
--- a/packages/standins/src/gentianpaddle_standins/engine.py
+++ b/packages/standins/src/gentianpaddle_standins/engine.py
@@ -32,6 +32,20 @@
     """Monotonic time of the start."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """One order that the engine carried out."""
+
+    version: str
+    """Version that it loaded."""
+    fence: int
+    """Fencing number of the order."""
+    started_s: float
+    """Monotonic time at which it began."""
+    ended_s: float
+    """Monotonic time at which the new version was ready."""
+
+
 @dataclasses.dataclass
 class EngineOptions:
     """Behaviour of the stand-in; fields may be changed while it runs."""
@@ -46,6 +60,12 @@
     """Requests at once that a warm engine carries."""
     warm_up_s: float = 0.0
     """Time after a start during which capacity grows from 2 to its full value."""
+    checks_fences: bool = False
+    """Whether an order with an old fence is refused with 409."""
+    load_s: float = 0.2
+    """Time to load a version; running streams break and no new one starts meanwhile."""
+    lost_order_answers: int = 0
+    """Orders, from the next one on, whose answer is lost after they took effect."""
 
 
 class Engine:
@@ -57,6 +77,13 @@
         self.incarnation = 1
         self.crashes = 0
         self.overloads = 0
+        self.model = "drafter"
+        self.version = "1"
+        self.role = "mixed"
+        self.orders: list[Order] = []
+        self._highest_fence = 0
+        self._loads = 0
+        self._loading = False
         self._lock = threading.Lock()
         self._running = 0
         self._started_s = time.monotonic()
@@ -76,8 +103,12 @@
             raise ConnectionResetError("the engine is down")
         if environ["PATH_INFO"] == "/health":
             return self._health(start_response)
+        if environ["PATH_INFO"] == "/model":
+            return self._model(start_response)
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = json.loads(environ["wsgi.input"].read(length))
+        if environ["PATH_INFO"] == "/orders":
+            return self._order(body, start_response)
         key = environ.get("HTTP_GENTIANPADDLE_KEY", "")
         return self._complete(body, key, start_response)
 
@@ -93,6 +124,32 @@
         start_response("200 OK", [("Content-Type", "application/json")])
         return [json.dumps(report).encode()]
 
+    def _model(self, start_response: typing.Any) -> Iterable[bytes]:
+        with self._lock:
+            running = {"model": self.model, "version": self.version, "role": self.role}
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps(running).encode()]
+
+    def _order(self, body: dict[str, typing.Any], start_response: typing.Any) -> Iterable[bytes]:
+        started_s, fence = time.monotonic(), int(body["fence"])
+        with self._lock:
+            if self.options.checks_fences and fence < self._highest_fence:
+                start_response("409 Conflict", [("Content-Type", "application/json")])
+                return [b"{}"]
+            self._highest_fence = max(self._highest_fence, fence)
+            self._loads += 1
+            self._loading = True
+        time.sleep(self.options.load_s)
+        with self._lock:
+            self.model, self.version, self.role = body["model"], body["version"], body["role"]
+            self._loading = False
+            self.orders.append(Order(self.version, fence, started_s, time.monotonic()))
+            lost = self.options.lost_order_answers > 0
+            self.options.lost_order_answers -= lost
+        if lost:
+            raise ConnectionResetError("the answer to the order is lost")
+        return self._model(start_response)
+
     def _complete(
         self, body: dict[str, typing.Any], key: str, start_response: typing.Any
     ) -> Iterable[bytes]:
@@ -100,17 +157,20 @@
         with self._lock:
             self.runs.append(Run(key, time.monotonic()))
             self._running += 1
-            incarnation = self.incarnation
+            incarnation, loads = self.incarnation, self._loads
+            if self._loading:
+                self._running -= 1
+                raise ConnectionResetError("the engine loads a version")
             overloaded = self._running > self._capacity_now()
         if overloaded:
             self.overloads += 1
         if CRASH_MARK in prompt or overloaded:
             self.crash()
         start_response("200 OK", [("Content-Type", "text/event-stream")])
-        return self._events(body, prompt, incarnation)
+        return self._events(body, prompt, incarnation, loads)
 
     def _events(
-        self, body: dict[str, typing.Any], prompt: str, incarnation: int
+        self, body: dict[str, typing.Any], prompt: str, incarnation: int, loads: int
     ) -> Iterator[bytes]:
         tokens = int(body.get("max_tokens", DEFAULT_TOKENS))
         delivered = len(str(body.get("continue_after", "")))
@@ -123,7 +183,7 @@
                 position += len(piece)
                 if position <= delivered:
                     continue
-                if self.incarnation != incarnation:
+                if (self.incarnation, self._loads) != (incarnation, loads):
                     raise ConnectionResetError("the engine crashed")
                 fresh = piece[max(0, len(piece) - (position - delivered)) :]
                 yield _event({"choices": [{"index": 0, "delta": {"content": fresh}}]})
