Roll out the declared version one server at a time

Cause: a new version in the declaration changed nothing at the engines.

Change: entry/version_rollout.py keeps one lease for each model, reads back from the linked agents and orders the declared version where it differs. core version_rollout chooses the next server and waits while another one takes no work. Only watchers of the configuration compete for the leases, so that their reads do not grow with the fleet.

--- a/packages/daemon/src/gentianpaddle_daemon/entry/agents.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/agents.py
@@ -71,6 +71,23 @@
         found = self.link_to(agent)
         return bool(found is not None and found.welcome is not None and found.welcome.resumes)
 
+    def serving(self, model: ids.ModelName) -> tuple[tuple[link.AgentLink, bool], ...]:
+        """Return the links to agents of a model.
+
+        Args:
+            model: Model.
+
+        Returns:
+            Each link in order of the agents' names, and whether its agent is out of service;
+            agents that are leaving are left out.
+        """
+        found = []
+        for _, linked in sorted(self._linked_by_agent.items()):
+            load = linked.load
+            if model in linked.targets and not (load is not None and load.leaving):
+                found.append((linked.link, load is not None and load.out))
+        return tuple(found)
+
     def follow(self, record: membership.MemberRecord) -> None:
         """Open, keep or close the link to a member.
 
--- a/packages/daemon/src/gentianpaddle_daemon/entry/link.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/link.py
@@ -59,6 +59,7 @@
         self._inbox_by_attempt: dict[tuple[str, int], asyncio.Queue[Inbound]] = {}
         self._query_by_key: dict[str, asyncio.Queue[Inbound]] = {}
         self._task: asyncio.Task[None] | None = None
+        self._channel: client.Channel | None = None
 
     @property
     def connected(self) -> bool:
@@ -127,6 +128,25 @@
         """Drop further states of a key."""
         self._query_by_key.pop(key, None)
 
+    async def order(self, request: pb.OrderRequest, timeout_s: float) -> pb.OrderReply | None:
+        """Send an order or a read back beside the stream.
+
+        Args:
+            request: What to send.
+            timeout_s: Longest wait for the answer.
+
+        Returns:
+            The answer; None when it is lost, so that the order may have been carried out.
+        """
+        if self._channel is None or self.welcome is None:
+            return None
+        stub = messages_grpc.AgentStub(self._channel)
+        token = security.metadata(self._own.shared_tokens)
+        try:
+            return await stub.Order(request, timeout=timeout_s, metadata=token)
+        except (OSError, TimeoutError, exceptions.GRPCError, exceptions.StreamTerminatedError):
+            return None
+
     async def _run(self) -> None:
         wait_s = FIRST_RECONNECT_S
         while True:
@@ -140,7 +160,7 @@
             await asyncio.sleep(wait_s)
 
     async def _connect_once(self) -> None:
-        channel = client.Channel(self.address.host, self.address.port)
+        channel = self._channel = client.Channel(self.address.host, self.address.port)
         try:
             stub = messages_grpc.AgentStub(channel)
             token = security.metadata(self._own.shared_tokens)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -49,6 +49,7 @@
     responses,
     sink,
     statuses,
+    version_rollout,
 )
 
 START_TIMEOUT_S = 10.0
@@ -102,6 +103,9 @@
             self._configuration_changed,
             rng,
         )
+        self._rollouts = version_rollout.VersionRollouts(
+            board, self._agents, self._store, self._store_threads
+        )
         self._routes = operator.Routes(
             board,
             self._loop,
@@ -180,6 +184,7 @@
             self._expire,
             self._day.run,
             self._claims.run,
+            self._rollouts.run,
         )
         for loop_body in bodies:
             self._loop.spawn(loop_body())
