Make the roll-out test fail without draining or waiting

Cause: a trial on a scratch copy without draining and without the report that a server takes work still passed: entries resumed the broken chats, and the answer to the first order kept the orders apart.

Change: the stand-in counts the streams that a load breaks, the test requires none, and the first load outlasts the wait for its answer.

--- a/packages/standins/src/gentianpaddle_standins/engine.py
+++ b/packages/standins/src/gentianpaddle_standins/engine.py
@@ -81,6 +81,7 @@
         self.version = "1"
         self.role = "mixed"
         self.orders: list[Order] = []
+        self.broken_by_loads = 0
         self._highest_fence = 0
         self._loads = 0
         self._loading = False
@@ -160,6 +161,7 @@
             incarnation, loads = self.incarnation, self._loads
             if self._loading:
                 self._running -= 1
+                self.broken_by_loads += 1
                 raise ConnectionResetError("the engine loads a version")
             overloaded = self._running > self._capacity_now()
         if overloaded:
@@ -183,7 +185,10 @@
                 position += len(piece)
                 if position <= delivered:
                     continue
-                if (self.incarnation, self._loads) != (incarnation, loads):
+                if self._loads != loads:
+                    self.broken_by_loads += 1
+                    raise ConnectionResetError("the engine loads a version")
+                if self.incarnation != incarnation:
                     raise ConnectionResetError("the engine crashed")
                 fresh = piece[max(0, len(piece) - (position - delivered)) :]
                 yield _event({"choices": [{"index": 0, "delta": {"content": fresh}}]})
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -17,6 +17,8 @@
 def test_new_version_reaches_one_engine_after_the_other(own_fleet: typing.Any, lost: int):
     fleet, results, done = own_fleet, [], threading.Event()
     fleet.engines[0].options.lost_order_answers = lost
+    # The entry stops waiting for the answer before that, so only the reports keep the order.
+    fleet.engines[0].options.load_s = 3.0
 
     def chat(url: str) -> None:
         for number in range(CHATS_LIMIT):
@@ -40,6 +42,7 @@
     orders.sort(key=lambda order: order.started_s)
     assert [order.version for order in orders] == ["2", "2"]
     assert all(first.ended_s < later.started_s for first, later in itertools.pairwise(orders))
+    assert [each.broken_by_loads for each in fleet.engines] == [0, 0]
     assert results
     assert all(results), (len(results), results.count(False))
     assert fleet.chats_whole(fleet.urls[1], "after")
