--- a/packages/command/src/gentianpaddle_command/main.py
+++ b/packages/command/src/gentianpaddle_command/main.py
@@ -206,6 +206,8 @@
         page = session.payload(session.entry.get(f"/report?{query}format=html"))
         output.write_text(str(page), encoding="utf-8")
     session.show(payload, str(payload["verdict"]["sentence"]))
+    if payload["verdict"]["bad"]:
+        sys.exit(ExitCode.BROKEN)
 
 
 @main.command()
--- a/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/configuration_watch.py
@@ -17,6 +17,8 @@
 WATCH_WAIT_S = 1.0
 """A watch confirms the view at least this often, well below `watchers.STALE_AFTER_S`."""
 FAILURE_PAUSE_S = 0.5
+RECENT_DOCUMENTS = 8
+"""Documents kept, so that a conflict can show what changed since the base of a change."""
 
 _logger = logging.getLogger("gentianpaddle.entry.configuration")
 
@@ -38,6 +40,7 @@
         self._watch_thread = watch_thread
         self._threads = threads
         self._on_change = on_change
+        self._recent_by_revision: dict[ids.Revision, configuration.Document] = {}
         self._freshness = freshness.FreshnessCheck(
             board.exchanger, board.configuration, store, threads, self._offer, rng
         )
@@ -101,6 +104,8 @@
             return present
         if revision == configuration.NO_REVISION:
             return configuration.EMPTY_DOCUMENT
+        if revision in self._recent_by_revision:
+            return self._recent_by_revision[revision]
         if revision < present.revision:
             return configuration.conflict(configuration.Document(revision, ""), present)
         return configuration.ChangeNotAccepted("this entry has not seen the base revision yet")
@@ -116,6 +121,10 @@
     def _offer(self, document: configuration.Document, read_s: float) -> None:
         board = self._board
         result = board.configuration.offer(document)
+        if result is configuration.OfferResult.ADOPTED:
+            self._recent_by_revision[document.revision] = document
+            while len(self._recent_by_revision) > RECENT_DOCUMENTS:
+                del self._recent_by_revision[next(iter(self._recent_by_revision))]
         board.exchanger.put_configuration(document.revision, document.text.encode(), read_s)
         if result in (configuration.OfferResult.ADOPTED, configuration.OfferResult.INVALID):
             logs.event(_logger, "configuration", revision=int(document.revision), result=result)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/operator.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/operator.py
@@ -18,7 +18,7 @@
     outcomes,
     places,
 )
-from gentianpaddle_daemon import loop_thread, metrics, security
+from gentianpaddle_daemon import loop_thread, metrics, security, store_client
 from gentianpaddle_daemon.entry import (
     claiming,
     configuration_watch,
@@ -47,6 +47,7 @@
         known: statuses.Statuses,
         claims: claiming.Claims,
         process_metrics: metrics.Metrics,
+        store: store_client.StoreClient,
         day_figures_of_vm: day.DayFiguresOfVm,
         entry_list: typing.Callable[[str], dict[str, typing.Any]],
         report: typing.Callable[[str, str], responses.Response],
@@ -57,6 +58,7 @@
         self._known = known
         self._claims = claims
         self._metrics = process_metrics
+        self._store = store
         self._day = day_figures_of_vm
         self._entry_list = entry_list
         self._report = report
@@ -87,6 +89,9 @@
         if path.startswith(REQUESTS_PREFIX):
             return self._request_state(path.removeprefix(REQUESTS_PREFIX), environ)
         if path == "/metrics":
+            self._metrics.set_store_calls(
+                {kind.value: calls for kind, calls in self._store.calls_by_kind.items()}
+            )
             content, content_type = self._metrics.render()
             return responses.Response(http.HTTPStatus.OK, content, content_type)
         if path == "/healthz":
@@ -142,6 +147,11 @@
         named = _named_places(body) if isinstance(body, bytes) else None
         if named is None:
             return _error(http.HTTPStatus.BAD_REQUEST, "bad_body", f"a JSON object with {NAMES}")
+        unknown = self._unknown_vms(named[1]) if verb == "out" else []
+        if unknown:
+            status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+            message = f"no such VM: {', '.join(unknown)}"
+            return _error(status, "unknown_vm", message)
         result: configuration.ChangeResult | None = None
         # Taking a place out commutes with other changes, so a conflict is tried again on top.
         for _ in range(CHANGE_TRIES):
@@ -159,6 +169,11 @@
             self._note(result, f"{', '.join((*named[0], *named[1]))}: {verb}")
         return _change_response(result)
 
+    def _unknown_vms(self, vms: tuple[str, ...]) -> list[str]:
+        # A mistyped name would be reported as out while the VM that was meant goes on.
+        known = {str(record.vm) for record in list(self._board.exchanger.table.records())}
+        return sorted(set(vms) - known)
+
     def _note(self, accepted: configuration.ChangeAccepted, text: str) -> None:
         event_id = f"revision-{accepted.document.revision}"
         self._loop.call(self._day.record_event, event_id, day_figures.EventKind.OPERATOR, text)
--- a/packages/daemon/src/gentianpaddle_daemon/entry/process.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/process.py
@@ -113,6 +113,7 @@
             known,
             self._claims,
             self._metrics,
+            self._store,
             self._day,
             self._entry_list,
             self._report,
--- a/packages/daemon/src/gentianpaddle_daemon/entry/version_rollout.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/version_rollout.py
@@ -163,5 +163,13 @@
 
 
 def _log(model: str, agent: str, present: str, wanted: str, fence: ids.Fence, reason: str) -> None:
-    fields = {"model": model, "agent": agent, "from": present, "to": wanted}
-    logs.event(_logger, "placement", logging.INFO, **fields, fence=int(fence), reason=reason)
+    logs.event(
+        _logger,
+        "placement",
+        model=model,
+        agent=agent,
+        present=present,
+        wanted=wanted,
+        fence=int(fence),
+        reason=reason,
+    )
--- a/packages/daemon/src/gentianpaddle_daemon/metrics.py
+++ b/packages/daemon/src/gentianpaddle_daemon/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+from collections.abc import Mapping
 
 import aioprometheus
 from aioprometheus import renderer
@@ -23,7 +24,7 @@
             "gentianpaddle_attempts_total", "Attempts by result at the agent"
         )
         self.store_calls = self._counter(
-            "gentianpaddle_store_calls_total", "Calls of the object API by kind and result"
+            "gentianpaddle_store_calls_total", "Calls of the object API by kind"
         )
         self.control_bytes = self._counter(
             "gentianpaddle_control_bytes_total", "Control-plane bytes sent by message"
@@ -44,6 +45,15 @@
     def _counter(self, name: str, text: str) -> typing.Any:
         return aioprometheus.Counter(name, text, registry=self._registry)
 
+    def set_store_calls(self, calls_by_kind: Mapping[str, int]) -> None:
+        """Set the counts of calls of the object API.
+
+        Args:
+            calls_by_kind: Calls since the start, by kind.
+        """
+        for kind, calls in calls_by_kind.items():
+            self.store_calls.set({"kind": str(kind)}, calls)
+
     def render(self) -> tuple[bytes, str]:
         """Render all metrics.
 
