End a replaced stream by its task instead of a waiter for each message

Cause: the agent made a task and a wait for each message of an entry to notice that the link was closed from its side. Change: closing a link cancels the task that serves its stream.

--- a/packages/daemon/src/gentianpaddle_daemon/agent/links.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from gentianpaddle_core import ids
 from gentianpaddle_daemon.wire import messages_pb2 as pb
@@ -17,7 +18,8 @@
     def __init__(self, entry: ids.VmId, data_centre: ids.DataCentreId) -> None:
         self.entry = entry
         self.data_centre = data_centre
-        self.closed = asyncio.Event()
+        self._closed = False
+        self._on_close: Callable[[], object] = lambda: None
         self.demand = 0
         self.grant = 0
         self.crash_version = 0
@@ -29,12 +31,22 @@
         Args:
             message: Message for the entry.
         """
-        if self.closed.is_set():
+        if self._closed:
             return
         try:
             self._outgoing.put_nowait(message)
         except asyncio.QueueFull:
-            self.closed.set()
+            self.close()
+
+    def on_close(self, callback: Callable[[], object]) -> None:
+        """Set what ends the stream when the link is closed from this side."""
+        self._on_close = callback
+
+    def close(self) -> None:
+        """End the stream; further messages are dropped."""
+        if not self._closed:
+            self._closed = True
+            self._on_close()
 
     async def next_message(self) -> pb.FromAgent:
         """Wait for the next message to send."""
--- a/packages/daemon/src/gentianpaddle_daemon/agent/service.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/service.py
@@ -108,22 +108,13 @@
     async def _receive_all(
         self, stream: grpc_server.Stream[pb.FromEntry, pb.FromAgent], link: links.EntryLink
     ) -> None:
-        closed = asyncio.get_running_loop().create_task(link.closed.wait())
+        receiver = asyncio.current_task()
+        link.on_close(lambda: receiver.cancel() if receiver is not None else None)
         try:
-            while not link.closed.is_set():
-                receiving = asyncio.get_running_loop().create_task(stream.recv_message())
-                await asyncio.wait({receiving, closed}, return_when=asyncio.FIRST_COMPLETED)
-                if not receiving.done():
-                    receiving.cancel()
-                    return
-                message = receiving.result()
-                if message is None:
-                    return
+            while (message := await stream.recv_message()) is not None:
                 self._handle(message, link)
         except (exceptions.StreamTerminatedError, exceptions.GRPCError, OSError):
             return
-        finally:
-            closed.cancel()
 
     def _handle(self, message: pb.FromEntry, link: links.EntryLink) -> None:
         kind = message.WhichOneof("kind")
@@ -222,7 +213,7 @@
         entry = ids.VmId(hello.vm)
         previous = self.link_by_entry.get(entry)
         if previous is not None:
-            previous.closed.set()
+            previous.close()
         link = links.new_entry_link(entry, ids.DataCentreId(hello.data_centre))
         self.link_by_entry[entry] = link
         self._board.capacity.hear(time.monotonic(), entry, demand=0)
@@ -230,7 +221,8 @@
         return link
 
     def _close(self, link: links.EntryLink) -> None:
-        link.closed.set()
+        link.on_close(lambda: None)
+        link.close()
         self._attempts.link_closed(link)
         if self.link_by_entry.get(link.entry) is link:
             del self.link_by_entry[link.entry]
