Answer slow bodies with 408 and test callers that go away

Cause: after a body timed out the HTTP library waited for the rest once more and closed the connection without the 408; nothing tested slow or vanished callers. A refused claim said that the call did not run, which nobody can know of an earlier submission of the key while the log cannot be read. Change: the rest of such a body is not awaited; the message speaks of this submission only; two end-to-end tests. Conclusion: bad, slow and vanished callers are covered.

--- a/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/dispatcher.py
@@ -377,7 +377,9 @@
 
 
 def _not_claimed(result: claiming.NotClaimed) -> outcomes.NotRun:
-    return outcomes.NotRun(result.code, "the call was not claimed and did not run", 1.0)
+    # Without the log nobody can tell what became of an earlier submission of the same key.
+    message = "this submission did not run; ask by key about an earlier one with the same key"
+    return outcomes.NotRun(result.code, message, 1.0)
 
 
 def _first_outcome(
--- a/packages/daemon/src/gentianpaddle_daemon/entry/front.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/front.py
@@ -151,6 +151,8 @@
     except errors.MaxSizeExceeded:
         return too_large
     except (TimeoutError, OSError, ValueError):
+        # The server library would wait for the rest again before it sends the answer.
+        environ["wsgi.input"].remaining = 0
         return outcomes.Refused(
             "incomplete_body", "the body did not arrive", http.HTTPStatus.REQUEST_TIMEOUT
         )
--- a/packages/standins/src/gentianpaddle_standins/engine.py
+++ b/packages/standins/src/gentianpaddle_standins/engine.py
@@ -90,6 +90,11 @@
         self._started_s = time.monotonic()
         self._down_until_s = 0.0
 
+    @property
+    def running(self) -> int:
+        """Requests that run now."""
+        return self._running
+
     def crash(self) -> None:
         """Break all streams and restart cold after `RESTART_S`."""
         with self._lock:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -62,6 +62,8 @@
 http = "127.0.0.1:{http}"
 operator_tokens = ["operator-token"]
 entry_ttl_s = 3
+[limits]
+body_timeout_s = 2
 """
 BACKEND = """
 [backend]
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import socket
 import time
 import typing
 
@@ -11,6 +13,7 @@
 
 CALLER = {"Authorization": "Bearer caller-token", "Gentianpaddle-Class": "quote"}
 CHAT = "/v1/chat/completions"
+LIMIT_S = 20.0
 BOOK = "/v1/services/booking/x"
 
 
@@ -58,6 +61,39 @@
     assert sum(len(each.runs) for each in fleet.engines) + len(fleet.booking.runs) == before
 
 
+def raw_request(url: str, body: bytes, length: int) -> socket.socket:
+    host, _, port = url.removeprefix("http://").partition(":")
+    lines = [f"POST {CHAT} HTTP/1.1", f"Host: {host}", f"Content-Length: {length}"]
+    lines += [f"{name}: {value}" for name, value in CALLER.items()]
+    opened = socket.create_connection((host, int(port)), timeout=LIMIT_S)
+    opened.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    return opened
+
+
+def test_slow_body_is_refused(fleet: typing.Any):
+    with raw_request(fleet.urls[0], b"{", 100) as slow:
+        assert b" 408 " in slow.recv(4_096).split(b"\r\n")[0]
+
+
+def test_stream_of_a_vanished_caller_is_cancelled(fleet: typing.Any):
+    body = json.dumps(
+        {
+            "model": "drafter",
+            "messages": [{"role": "user", "content": "left alone"}],
+            "max_tokens": 2_000,
+            "stream": True,
+        }
+    ).encode()
+    with raw_request(fleet.urls[0], body, len(body)) as vanishing:
+        assert b" 200 " in vanishing.recv(4_096).split(b"\r\n")[0]
+        assert sum(each.running for each in fleet.engines) == 1
+    # 2,000 tokens would take 40 s.
+    until_s = time.monotonic() + LIMIT_S
+    while sum(each.running for each in fleet.engines):
+        assert time.monotonic() < until_s
+        time.sleep(0.1)
+
+
 def test_evening_page_counts_the_requests(fleet: typing.Any):
     assert fleet.chats_whole(fleet.urls[0], "counted")
     headers = {"Authorization": "Bearer operator-token"}
