Keep the body time limit of the test fleet above the freeze of an entry

Cause: body_timeout_s also ends idle kept-alive connections; with 2 s an entry that thawed after 5 s closed a connection that the test client was reusing. Ruled out: the daemon's handling of requests; the request never reached it. Change: 8 s in the fixture; the slow body test still expects its 408. Conclusion: a fixture setting, no check was changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -63,7 +63,7 @@
 operator_tokens = ["operator-token"]
 entry_ttl_s = 3
 [limits]
-body_timeout_s = 2
+body_timeout_s = 8
 """
 BACKEND = """
 [backend]
