--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-PACKAGES := core daemon command report standins
-SOURCES := $(foreach package,$(PACKAGES),packages/$(package))
+PACKAGES := core daemon command report standins gateway
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package)) platform
 space := $(subst ,, )
-export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
+export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source)/src))
 STAMP := $(VENV)/.installed
 
 .PHONY: venv format lint test bench timing capacity soak demo generate
@@ -14,7 +14,7 @@
 $(STAMP): requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach package,$(SOURCES),--editable $(package))
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach source,$(SOURCES),--editable $(CURDIR)/$(source))
 	touch $(STAMP)
 
 format: venv
@@ -24,7 +24,7 @@
 lint: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy $(foreach package,$(SOURCES),$(package)/src) benchmarks
+	$(BIN)/mypy $(foreach source,$(SOURCES),$(source)/src) benchmarks
 
 test: venv
 	$(BIN)/pytest -q
--- /dev/null
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -0,0 +1,224 @@
+"""Which backend server gets a request.
+
+The load pattern this answers: engines of a group make each pass together, so the fullest one sets
+the pace of all. A request goes where the fewest run, counted from the servers' own reports and
+corrected by what this process sent since. Servers that fail what others serve get less.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Collection, Sequence
+
+from gentianpaddle_core import ids
+from gentianpaddle_core.serving import servers
+
+REPORT_AGE_LIMIT_S = 1.0
+"""Age at which a report counts for nothing; reports come ten times as often."""
+
+FAILURE_WEIGHT = 0.25
+"""Weight of the last result in a server's share of failures; about eight results are remembered."""
+
+FAILURE_PENALTY = 8.0
+"""Requests that a server with nothing but failures seems to have more than it has."""
+
+SUSPECT_SHARE = 0.6
+"""Share of failures from which a server gets trial requests only."""
+
+TRIAL_INTERVAL_S = 1.0
+"""Pause between trial requests to a suspect server; shorter than most releases and crashes."""
+
+NEAR_TIE = 0.5
+"""Difference of load below which servers are equal, so that processes do not pick the same one."""
+
+DECLINED_PAUSE_S = 0.25
+"""Time for which a server that declined a request gets none, unless it reports room before; a
+group that forms or a full queue takes longer than a repeat."""
+
+REMOTE_PENALTY = 0.25
+"""Load that a server in another data centre seems to have more, for the bytes between them."""
+
+
+@dataclasses.dataclass(slots=True)
+class ServerLoad:
+    """What is known of one server's load."""
+
+    own: int = 0
+    """Requests of this process that it has."""
+    own_at_report: int = 0
+    reported: int = 0
+    """Requests that it had from all processes when it reported."""
+    reported_s: float = -REPORT_AGE_LIMIT_S
+    open: bool = True
+    """Whether its group takes work."""
+    slowness: float = 1.0
+    failures: float = 0.0
+    """Share of failures among its last results."""
+    tried_s: float = -TRIAL_INTERVAL_S
+    declined_until_s: float = 0.0
+
+    def total(self, now_s: float) -> int:
+        """Return the requests that it has now, as far as can be known.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if now_s - self.reported_s > REPORT_AGE_LIMIT_S:
+            return self.own
+        return max(self.own, self.reported + self.own - self.own_at_report)
+
+
+class Placement:
+    """Load of the servers as one process knows it.
+
+    Args:
+        data_centre: Where this process runs.
+        seed: Seed of the choice among equals.
+    """
+
+    def __init__(self, data_centre: ids.DataCentreId, seed: int) -> None:
+        self._data_centre = data_centre
+        self._random = random.Random(seed)
+        self._load_by_id: dict[ids.BackendServerId, ServerLoad] = {}
+
+    def load(self, server: ids.BackendServerId) -> ServerLoad:
+        """Return what is known of a server.
+
+        Args:
+            server: The server.
+        """
+        return self._load_by_id.setdefault(server, ServerLoad())
+
+    def reported(
+        self,
+        server: ids.BackendServerId,
+        requests: int,
+        group_open: bool,
+        slowness: float,
+        now_s: float,
+    ) -> None:
+        """Take a server's report.
+
+        Args:
+            server: The server.
+            requests: Requests that run or wait there.
+            group_open: Whether its group takes work.
+            slowness: Time of its work relative to a healthy engine.
+            now_s: Monotonic time in seconds.
+        """
+        load = self.load(server)
+        load.reported, load.reported_s = requests, now_s
+        load.own_at_report = load.own
+        load.open, load.slowness = group_open, slowness
+
+    def started(self, server: ids.BackendServerId, now_s: float) -> None:
+        """Note that a request is sent.
+
+        Args:
+            server: Where it goes.
+            now_s: Monotonic time in seconds.
+        """
+        load = self.load(server)
+        load.own += 1
+        load.tried_s = now_s
+
+    def finished(self, server: ids.BackendServerId) -> None:
+        """Note that a request has ended in any way.
+
+        Args:
+            server: Where it ran.
+        """
+        load = self.load(server)
+        load.own = max(0, load.own - 1)
+
+    def result(self, server: ids.BackendServerId, good: bool) -> None:
+        """Note whether a server served a request.
+
+        Args:
+            server: The server.
+            good: Whether its answer was complete and no failure.
+        """
+        load = self.load(server)
+        load.failures += FAILURE_WEIGHT * ((0.0 if good else 1.0) - load.failures)
+
+    def declined(self, server: ids.BackendServerId, now_s: float) -> None:
+        """Note that a server did not take a request.
+
+        Args:
+            server: The server.
+            now_s: Monotonic time in seconds.
+        """
+        self.load(server).declined_until_s = now_s + DECLINED_PAUSE_S
+
+    def forget(self, listed: Collection[ids.BackendServerId]) -> None:
+        """Drop servers that are gone and idle.
+
+        Args:
+            listed: Servers that exist.
+        """
+        for server, load in list(self._load_by_id.items()):
+            if server not in listed and load.own == 0:
+                del self._load_by_id[server]
+
+    def choose(
+        self,
+        candidates: Sequence[servers.ServerEntry],
+        excluded: Collection[ids.BackendServerId],
+        room: int | None,
+        now_s: float,
+    ) -> servers.ServerEntry | None:
+        """Choose a server for a request.
+
+        Args:
+            candidates: Servers that may get it.
+            excluded: Servers that have had it.
+            room: Requests beyond a server's slots that it may have, or None for any number.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            The server, or None if all that may get it are full.
+        """
+        open_servers = [
+            entry
+            for entry in candidates
+            if entry.id not in excluded and self._is_open(entry.id, now_s)
+        ]
+        sound = [entry for entry in open_servers if not self._is_suspect(entry.id, now_s)]
+        scored = []
+        for entry in sound or open_servers:
+            load = self.load(entry.id)
+            total = load.total(now_s)
+            if room is not None and total >= entry.slots + room:
+                continue
+            score = total * load.slowness + FAILURE_PENALTY * load.failures
+            if entry.data_centre != self._data_centre:
+                score += REMOTE_PENALTY
+            scored.append((score, entry))
+        if not scored:
+            return None
+        limit = min(score for score, _ in scored) + NEAR_TIE
+        return self._random.choice([entry for score, entry in scored if score <= limit])
+
+    def _is_open(self, server: ids.BackendServerId, now_s: float) -> bool:
+        load = self.load(server)
+        if now_s < load.declined_until_s:
+            return False
+        return load.open or now_s - load.reported_s > REPORT_AGE_LIMIT_S
+
+    def _is_suspect(self, server: ids.BackendServerId, now_s: float) -> bool:
+        load = self.load(server)
+        return load.failures > SUSPECT_SHARE and now_s - load.tried_s < TRIAL_INTERVAL_S
+
+
+def new_placement(data_centre: ids.DataCentreId, seed: int) -> Placement:
+    """Create a placement without any load.
+
+    Args:
+        data_centre: Where this process runs.
+        seed: Seed of the choice among equals.
+
+    Returns:
+        The placement.
+    """
+    return Placement(data_centre, seed)
--- /dev/null
+++ b/packages/core/tests/test_serving_decisions.py
@@ -0,0 +1,255 @@
+"""Decisions of the gateway that need no replay: routes, events, attempts, limits, servers."""
+
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from gentianpaddle_core import ids
+from gentianpaddle_core.serving import (
+    attempts,
+    event_stream,
+    members,
+    placement,
+    rates,
+    routes,
+    servers,
+)
+
+
+def route(
+    kind: routes.RouteKind, resumable: bool = False, max_attempts: int = 2, prefix: str = "/a/"
+) -> routes.Route:
+    return routes.Route(
+        name=prefix,
+        host="h",
+        path_prefix=prefix,
+        kind=kind,
+        resumable=resumable,
+        timeout_s=8.0,
+        target_s=0.4,
+        event_gap_s=0.12,
+        max_attempts=max_attempts,
+        public=False,
+        priority=1,
+        weight_by_service=((routes.ServiceName("s"), 1.0),),
+    )
+
+
+SAFE = route(routes.RouteKind.SAFE)
+UNSAFE = route(routes.RouteKind.UNSAFE, max_attempts=1)
+STREAM = route(routes.RouteKind.STREAMING, resumable=True)
+PLAIN_STREAM = route(routes.RouteKind.STREAMING)
+NOT_RUN = attempts.NotRun("full")
+LOST = attempts.Lost("reset")
+FAILED = attempts.ServerFailure(500)
+
+
+@pytest.mark.parametrize(
+    ("which", "results", "remaining_s", "budget", "expected"),
+    [
+        (UNSAFE, [NOT_RUN], 1.0, True, attempts.Repeat()),
+        (UNSAFE, [NOT_RUN], 1.0, False, attempts.Refuse()),
+        (UNSAFE, [LOST], 1.0, True, attempts.Fail(502)),
+        (UNSAFE, [FAILED], 1.0, True, attempts.PassOn()),
+        (PLAIN_STREAM, [LOST], 1.0, True, attempts.Fail(502)),
+        (SAFE, [LOST], 1.0, True, attempts.Repeat()),
+        (SAFE, [FAILED], 1.0, True, attempts.Repeat()),
+        (SAFE, [LOST, FAILED], 1.0, True, attempts.PassOn()),
+        (SAFE, [LOST, NOT_RUN], 1.0, False, attempts.Fail(502)),
+        (SAFE, [LOST], 0.0, True, attempts.Fail(504)),
+        (STREAM, [LOST], 1.0, True, attempts.Repeat()),
+        (STREAM, [LOST, LOST], 1.0, True, attempts.Fail(502)),
+        (SAFE, [NOT_RUN] * attempts.SENDS_LIMIT, 1.0, True, attempts.Refuse()),
+    ],
+)
+def test_next_step(
+    which: routes.Route,
+    results: list[attempts.AttemptResult],
+    remaining_s: float,
+    budget: bool,
+    expected: attempts.NextStep,
+) -> None:
+    """Guards against second runs of what may run once and against untrue refusals."""
+    history = attempts.History()
+    for result in results:
+        history.add(result)
+    found = attempts.next_step(which, history, results[-1], remaining_s, lambda: budget)
+    assert found == expected
+
+
+EVENTS = [b"id: %d\ndata: x%d\n\n" % (number, number) for number in range(1, 6)]
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, 1000])
+def test_events_are_passed_on_whole(size: int) -> None:
+    """Guards against a piece of an event that reaches the caller before its rest."""
+    reader = event_stream.EventReader(None)
+    body = b"".join(EVENTS)
+    found = []
+    for start in range(0, len(body), size):
+        found += reader.feed(body[start : start + size])
+    assert [event.data for event in found] == EVENTS
+    assert not reader.partial
+    assert reader.last_id == "5"
+
+
+def test_a_resumed_stream_has_no_event_twice() -> None:
+    """Guards against a torn event and against doubled ones after a server was lost."""
+    reader = event_stream.EventReader(None)
+    first = reader.feed(EVENTS[0] + EVENTS[1] + EVENTS[2][:6])
+    reader.resume()
+    second = reader.feed(b"".join(EVENTS[1:]))
+    assert [event.data for event in first + second] == EVENTS
+
+
+@pytest.mark.parametrize("body", [EVENTS[0] + EVENTS[2], b"x" * 1_100_000])
+def test_a_missing_event_breaks_the_stream(body: bytes) -> None:
+    """Guards against a stream that looks complete without one of its events."""
+    reader = event_stream.EventReader(None)
+    with pytest.raises(event_stream.OutOfOrderError):
+        reader.feed(body)
+
+
+def entry(
+    number: int, data_centre: str = "a", draining: bool = False, slots: int = 6
+) -> servers.ServerEntry:
+    return servers.ServerEntry(
+        id=ids.BackendServerId(f"i-{number}"),
+        service=routes.ServiceName("s"),
+        address=f"10.0.0.{number}:80",
+        data_centre=ids.DataCentreId(data_centre),
+        slots=slots,
+        draining=draining,
+        cold_ms=0.0,
+    )
+
+
+SERVICE = routes.ServiceName("s")
+
+
+def usable(view: servers.ServerView, now_s: float) -> list[str]:
+    return sorted(found.id for found in view.usable(SERVICE, now_s))
+
+
+def test_draining_gone_and_evacuated_servers_get_nothing() -> None:
+    """Guards against requests to servers that are about to end or were taken out."""
+    view = servers.ServerView()
+    view.directory_answered(0.0)
+    view.replace([entry(1), entry(2), entry(3, "b")], 10.0)
+    view.put(entry(1, draining=True), 10.0)
+    assert usable(view, 10.0) == ["i-2", "i-3"]
+    view.evacuated = frozenset((ids.DataCentreId("b"),))
+    assert usable(view, 10.0) == ["i-2"]
+    view.remove(ids.BackendServerId("i-2"), 11.0)
+    assert usable(view, 11.0) == []
+
+
+def test_entries_that_lapse_while_the_store_is_away() -> None:
+    """Guards against losing all servers after an outage, and against using dead ones for long."""
+    view = servers.ServerView()
+    view.directory_answered(0.0)
+    view.replace([entry(1), entry(2)], 10.0)
+    view.directory_lost()
+    view.directory_answered(20.0)
+    view.replace([], 20.0)
+    assert usable(view, 21.0) == ["i-1", "i-2"]
+    view.put(entry(1), 21.5)
+    assert usable(view, 20.0 + servers.REGISTRATION_GRACE_S) == ["i-1"]
+
+
+def test_fronts_that_are_silent_or_leave_are_not_named() -> None:
+    """Guards against callers that are sent to a front that is dead or stopping."""
+    own = members.Member(ids.VmId("f0"), ids.DataCentreId("a"), "10.0.0.1", 1, "x:1", None)
+    others = [
+        members.Member(ids.VmId(f"f{n}"), ids.DataCentreId("a"), "10.0.0.2", 1, f"x:{n}", None)
+        for n in (1, 2, 3)
+    ]
+    view = members.MemberView(own)
+    view.replace(others)
+    for member, serving in zip(others, (True, False, True), strict=True):
+        view.heard(member, serving, 10.0)
+    view.heard(others[0], True, 13.0)
+    assert [member.vm for member in view.fronts(13.0)] == ["f1"]
+
+
+@pytest.mark.parametrize(("processes", "requests"), [(1, 0), (8, 0), (8, 100), (34, 1000)])
+def test_repeats_of_all_processes_stay_within_the_budget(processes: int, requests: int) -> None:
+    """Guards against a storm of repeats when a service fails at all fronts at once."""
+    ratio, slack = 0.2, 92.0
+    granted = 0
+    for _ in range(processes):
+        budget = rates.RepeatBudget(ratio, slack, 10.0)
+        for _ in range(requests // processes):
+            budget.first(0.0)
+        granted += sum(budget.take(processes, 1.0) for _ in range(500))
+    assert granted <= ratio * requests + slack
+    if processes <= 8:
+        assert granted > 0
+
+
+@pytest.mark.parametrize("processes", [1, 8])
+def test_a_cold_server_stays_under_its_rate(processes: int) -> None:
+    """Guards against a cold server that gets its rate from every front."""
+    rate, factor, slack = 36.0, 1.5, 5.0
+    server = ids.BackendServerId("i")
+    sent: collections.Counter[int] = collections.Counter()
+    limits = [rates.ColdLimits(factor, slack) for _ in range(processes)]
+    for step in range(300):
+        now_s = step * 0.01
+        for limit in limits:
+            if limit.allows(server, rate, processes, now_s):
+                limit.sent(server, now_s)
+                sent[step] += 1
+    for start in range(200):
+        assert sum(sent[step] for step in range(start, start + 100)) <= rate * factor + slack
+
+
+def test_placement_counts_what_others_sent() -> None:
+    """Guards against a front that fills a server which other fronts have filled already."""
+    load = placement.new_placement(ids.DataCentreId("a"), 1)
+    fleet = [entry(1), entry(2)]
+    load.reported(fleet[0].id, 6, True, 1.0, 0.0)
+    load.reported(fleet[1].id, 1, True, 1.0, 0.0)
+    chosen = load.choose(fleet, (), 0, 0.1)
+    assert chosen is fleet[1]
+    for _ in range(5):
+        load.started(fleet[1].id, 0.1)
+    assert load.choose(fleet, (), 0, 0.1) is None
+    load.finished(fleet[1].id)
+    assert load.choose(fleet, (), 0, 0.1) is fleet[1]
+
+
+def test_placement_avoids_broken_groups_and_failing_servers() -> None:
+    """Guards against requests that stall at a broken group or fail at a grey server."""
+    load = placement.new_placement(ids.DataCentreId("a"), 1)
+    fleet = [entry(1), entry(2), entry(3)]
+    load.reported(fleet[0].id, 0, False, 1.0, 0.0)
+    for _ in range(6):
+        load.started(fleet[1].id, 0.0)
+        load.result(fleet[1].id, good=False)
+        load.finished(fleet[1].id)
+    chosen = {load.choose(fleet, (), 0, 0.1) for _ in range(20)}
+    assert chosen == {fleet[2]}
+
+
+def test_longest_prefix_wins() -> None:
+    """Guards against a request that goes to the service of a shorter prefix."""
+    table = routes.RoutingTable(
+        version=1,
+        routes=(
+            route(routes.RouteKind.SAFE, prefix="/a/"),
+            route(routes.RouteKind.SAFE, prefix="/a/b/"),
+        ),
+        service_by_name={},
+        limits=routes.DEFAULT_CLIENT_LIMITS,
+        organisation_by_key={},
+        keys_required=False,
+    )
+    names = {path: table.match("h", path) for path in ("/a/b/c", "/a/c", "/b")}
+    assert {path: found.name if found else None for path, found in names.items()} == {
+        "/a/b/c": "/a/b/",
+        "/a/c": "/a/",
+        "/b": None,
+    }
--- a/packages/daemon/src/gentianpaddle_daemon/logs.py
+++ b/packages/daemon/src/gentianpaddle_daemon/logs.py
@@ -45,6 +45,19 @@
     return text if _PLAIN.fullmatch(text) else json.dumps(text)
 
 
+def formatter(vm: str, as_json: bool) -> logging.Formatter:
+    """Create the formatter of log lines.
+
+    Args:
+        vm: Name of this VM, written on each line.
+        as_json: Whether lines are JSON rather than key=value pairs.
+
+    Returns:
+        The formatter.
+    """
+    return _Formatter(vm, as_json)
+
+
 def set_up(vm: str, log_format: str, level: int = logging.INFO) -> None:
     """Send the logs of this process to standard error.
 
@@ -54,7 +67,7 @@
         level: Lowest level that is written.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_Formatter(vm, log_format == "json"))
+    handler.setFormatter(formatter(vm, log_format == "json"))
     root = logging.getLogger("gentianpaddle")
     root.handlers[:] = [handler]
     root.setLevel(level)
--- /dev/null
+++ b/packages/gateway/tests/test_front_process.py
@@ -0,0 +1,425 @@
+"""The real front as a process, between callers and stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+from gentianpaddle_platform_standins import documents, replica, store
+
+from gentianpaddle_platform import headers, settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+PORT = 21_300
+START_LIMIT_S = 10.0
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+class System:
+    """One or more fronts with a store and two backend servers."""
+
+    def __init__(self, folder: pathlib.Path, host: str) -> None:
+        self.folder = folder
+        self.store = store.StoreStandin()
+        self.replicas = [replica.ReplicaStandin(f"i-{number}") for number in (1, 2)]
+        self.host = host
+        self.processes: list[asyncio.subprocess.Process] = []
+
+    async def start(self, configured: bool = True) -> None:
+        await self.store.http.listen()
+        await self.store.second_door.listen()
+        for standin in self.replicas:
+            await standin.http.listen()
+            self.store.put("servers", standin.server, standin.entry("app", "north"))
+        if configured:
+            self.store.put("config", "main", documents.configuration(1))
+        await self.start_front(self.host)
+        if configured:
+            await self.until(lambda: self.ready(self.host))
+
+    async def start_front(self, host: str, store_address: str = "") -> asyncio.subprocess.Process:
+        file = self.folder / f"{host}.toml"
+        store_address = store_address or self.store.http.address
+        text = documents.settings_text(f"front-{host}", host, PORT, store_address)
+        file.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "start.py"),
+            env={**os.environ, settings.PATH_VARIABLE: str(file)},
+            stdout=(self.folder / f"{host}.log").open("ab"),
+        )
+        self.processes.append(process)
+        return process
+
+    async def until(self, holds: Callable[[], Awaitable[bool]]) -> None:
+        async with asyncio.timeout(START_LIMIT_S):
+            while not await holds():
+                await asyncio.sleep(0.05)
+
+    async def ready(self, host: str) -> bool:
+        try:
+            answer = await call(host, PORT + 2, b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+        except OSError:
+            return False
+        return answer.status == 200
+
+    async def ask(
+        self, path: str, method: str = "GET", body: bytes = b"", key: str = documents.KEY
+    ) -> Answer:
+        return await call(self.host, PORT + 1, request(path, method, body, key))
+
+    def runs(self) -> list[replica.Run]:
+        return [run for standin in self.replicas for run in standin.runs]
+
+    def logged(self, event: str) -> list[str]:
+        text = (self.folder / f"{self.host}.log").read_text()
+        return [line for line in text.splitlines() if f"event={event} " in line]
+
+    async def stop(self) -> None:
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        self.store.http.close()
+        for standin in self.replicas:
+            standin.http.close()
+
+
+def request(
+    path: str, method: str = "GET", body: bytes = b"", key: str = documents.KEY, name: str = "r-1"
+) -> bytes:
+    fields = {
+        "Host": documents.HOST,
+        headers.REQUEST_ID.decode(): name,
+        headers.DEADLINE_MS.decode(): "3000",
+        "Authorization": f"Bearer {key}",
+    }
+    if method == "POST":
+        fields["Content-Length"] = str(len(body))
+    lines = "".join(f"{field}: {value}\r\n" for field, value in fields.items())
+    return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+async def call(host: str, port: int, data: bytes) -> Answer:
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(data)
+        async with asyncio.timeout(8.0):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    status = int(head[0].split(" ")[1])
+    found = {}
+    for line in filter(None, head[1:]):
+        name, _, value = line.partition(":")
+        found[name.lower()] = value.strip()
+    body, complete = b"", True
+    try:
+        if found.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readexactly(2)
+        else:
+            body = await reader.readexactly(int(found.get("content-length", "0")))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        complete = False
+    return Answer(status, found, body, complete)
+
+
+@contextlib.asynccontextmanager
+async def system(
+    folder: pathlib.Path, host: str = "127.0.0.2", configured: bool = True
+) -> AsyncIterator[System]:
+    running = System(folder, host)
+    try:
+        await running.start(configured)
+        yield running
+    finally:
+        await running.stop()
+
+
+WHOLE_STREAM = b"".join(
+    b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, replica.EVENTS + 1)
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "troubles", "status", "runs"),
+    [
+        ("/look/1", "GET", [], 200, 1),
+        ("/look/1", "GET", ["LOST"], 200, 2),
+        ("/look/1", "GET", ["ERROR"], 200, 2),
+        ("/look/1", "GET", ["ERROR", "ERROR"], 500, 2),
+        ("/look/1", "GET", ["UNSEALED"], 200, 2),
+        ("/look/1", "GET", ["FOREIGN"], 200, 2),
+        ("/look/1", "GET", ["SHORT"], 200, 2),
+        ("/look/1", "GET", ["FULL"], 200, 1),
+        ("/book/1", "POST", [], 200, 1),
+        ("/book/1", "POST", ["FULL"], 200, 1),
+        ("/book/1", "POST", ["FULL", "FULL"], 503, 0),
+        ("/book/1", "POST", ["LOST"], 502, 1),
+        ("/book/1", "POST", ["SHORT"], 502, 1),
+        ("/book/1", "POST", ["FOREIGN"], 502, 1),
+        ("/book/1", "POST", ["ERROR"], 500, 1),
+        ("/stream/1", "POST", [], 200, 1),
+        ("/stream/1", "POST", ["TORN"], 200, 2),
+        ("/stream/1", "POST", ["LOST"], 200, 2),
+    ],
+)
+async def check_trouble(
+    running: System, path: str, method: str, troubles: list[str], status: int, runs: int
+) -> None:
+    for standin in running.replicas:
+        standin.runs.clear()
+        standin.troubles = [replica.Trouble[name] for name in troubles]
+    # Both servers get the same list, so it does not matter which one is chosen first.
+    if len(troubles) == 1:
+        shared = [replica.Trouble[name] for name in troubles]
+        for standin in running.replicas:
+            standin.troubles = shared
+    answer = await running.ask(path, method, b"body" if method == "POST" else b"")
+    assert (answer.status, len(running.runs())) == (status, runs)
+    assert answer.complete
+    if answer.status == 200 and path.startswith("/stream"):
+        assert answer.body == WHOLE_STREAM
+    if answer.status == 503:
+        assert float(answer.headers["retry-after"]) >= 0.0
+    for run in running.runs():
+        assert run.headers[headers.ORGANISATION.decode()] == documents.ORGANISATION
+        assert "authorization" not in run.headers
+        assert 0 < int(run.headers[headers.DEADLINE_MS.decode()]) <= 3_000
+
+
+TROUBLES = check_trouble.pytestmark[0].args[1]  # type: ignore[attr-defined]
+
+
+def test_troubles_of_servers(tmp_path: pathlib.Path) -> None:
+    """Guards against second runs of bookings, untrue refusals, and answers that are not whole."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            for row in TROUBLES:
+                await check_trouble(running, *row)
+
+    asyncio.run(play())
+
+
+BAD_REQUESTS = [
+    (b"GET /nowhere HTTP/1.1\r\nHost: bookings.example\r\n\r\n", 404),
+    (request("/look/1", key="wrong"), 401),
+    (
+        b"POST /book/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    (b"POST /book/1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (b"GET /look/1 HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+    (b"GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Long: " + b"y" * 9_000 + b"\r\n\r\n", 431),
+    (b"POST /book/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 30000\r\n\r\n", 413),
+    (b"GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Slow", 408),
+    (b"POST /book/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab", 408),
+]
+
+
+def test_bad_requests_reach_no_server(tmp_path: pathlib.Path) -> None:
+    """Guards against smuggled requests and against memory that slow or large callers hold."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            for data, status in BAD_REQUESTS:
+                answer = await call(running.host, PORT + 1, data)
+                assert answer.status == status, data[:60]
+            assert running.runs() == []
+
+    asyncio.run(play())
+
+
+def test_a_caller_that_leaves_ends_the_work(tmp_path: pathlib.Path) -> None:
+    """Guards against servers that work for callers who are gone."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            for standin in running.replicas:
+                standin.pause_s = 1.0
+            for path in ("/look/1", "/stream/1"):
+                _, writer = await asyncio.open_connection(running.host, PORT + 1)
+                writer.write(request(path, name=path))
+                await running.until(lambda path=path: sent(running, path))
+                writer.transport.abort()
+                await asyncio.sleep(0.3)
+                left = [name for standin in running.replicas for name in standin.left]
+                assert path in left
+
+    async def sent(running: System, name: str) -> bool:
+        return any(run.request_id == name for run in running.runs())
+
+    asyncio.run(play())
+
+
+def test_a_timeout_is_answered_in_time(tmp_path: pathlib.Path) -> None:
+    """Guards against requests that are held past the time-out of their route."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            running.store.put("config", "main", documents.configuration(2, timeout_ms=500))
+            for standin in running.replicas:
+                standin.pause_s = 3.0
+            await asyncio.sleep(0.3)
+            began_s = asyncio.get_running_loop().time()
+            answer = await running.ask("/look/1")
+            assert answer.status == 504
+            assert asyncio.get_running_loop().time() - began_s < 1.0
+
+    asyncio.run(play())
+
+
+def test_news_of_the_store_is_in_force_at_once(tmp_path: pathlib.Path) -> None:
+    """Guards against old routes, old keys, draining servers and evacuated data centres."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            running.store.put("config", "main", documents.configuration(5, keys=("key-2",)))
+            await asyncio.sleep(0.3)
+            assert (await running.ask("/look/1")).status == 401
+            assert (await running.ask("/look/1", key="key-2")).status == 200
+            # An older version never comes back in force.
+            running.store.put("config", "main", documents.configuration(4))
+            await asyncio.sleep(0.3)
+            assert (await running.ask("/look/1")).status == 401
+            first, second = running.replicas
+            entry = {**first.entry("app", "north"), "state": "draining"}
+            running.store.put("servers", first.server, entry)
+            running.store.put("servers", "broken", {"service": 5})
+            await asyncio.sleep(0.3)
+            first.runs.clear()
+            for _ in range(6):
+                assert (await running.ask("/look/1", key="key-2")).status == 200
+            assert not first.runs
+            running.store.put("evacuations", "north", {})
+            await asyncio.sleep(0.3)
+            second.runs.clear()
+            assert (await running.ask("/look/1", key="key-2")).status == 503
+            assert not second.runs
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("trouble", ["silent", "busy", "history"])
+def test_service_goes_on_while_the_store_is_in_trouble(
+    tmp_path: pathlib.Path, trouble: str
+) -> None:
+    """Guards against requests that are lost because the store cannot be reached."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            running.store.silent = trouble == "silent"
+            running.store.status_for_all = 503 if trouble == "busy" else None
+            if trouble == "history":
+                running.store.forget_history()
+            for _ in range(15):
+                assert (await running.ask("/look/1")).status == 200
+                await asyncio.sleep(0.1)
+            running.store.silent, running.store.status_for_all = False, None
+            running.store.put("config", "main", documents.configuration(9, keys=("key-9",)))
+            await asyncio.sleep(2.0)
+            assert (await running.ask("/look/1", key="key-9")).status == 200
+
+    asyncio.run(play())
+
+
+def test_a_front_without_a_configuration_is_not_ready(tmp_path: pathlib.Path) -> None:
+    """Guards against a front that denies what it merely does not know."""
+
+    async def play() -> None:
+        async with system(tmp_path, configured=False) as running:
+            await running.until(lambda: answers(running))
+            assert not await running.ready(running.host)
+            assert (await running.ask("/look/1")).status == 503
+
+    async def answers(running: System) -> bool:
+        try:
+            await running.ask("/look/1")
+        except OSError:
+            return False
+        return True
+
+    asyncio.run(play())
+
+
+def test_a_stopping_front_finishes_its_requests(tmp_path: pathlib.Path) -> None:
+    """Guards against requests that are cut by a planned stop."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            for standin in running.replicas:
+                standin.pause_s = 0.3
+            stream = asyncio.create_task(running.ask("/stream/1", "POST", b"x"))
+            await asyncio.sleep(0.2)
+            running.processes[0].send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            assert not await running.ready(running.host)
+            late = await running.ask("/look/1")
+            assert late.status == 200
+            assert late.headers["connection"] == "close"
+            answer = await stream
+            assert answer.complete
+            assert answer.body == WHOLE_STREAM
+            assert await asyncio.wait_for(running.processes[0].wait(), 8.0) == 0
+            assert running.logged("stop")
+
+    asyncio.run(play())
+
+
+def test_a_front_that_the_store_refuses_learns_from_another(tmp_path: pathlib.Path) -> None:
+    """Guards against a front that serves old keys while the others know the new ones."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            other = System(tmp_path, "127.0.0.3")
+            other.store, other.replicas = running.store, running.replicas
+            running.processes.append(
+                await other.start_front("127.0.0.3", running.store.second_door.address)
+            )
+            await running.until(lambda: other.ready(other.host))
+            await running.until(lambda: names_both(running))
+            body = (await directory(running)).body
+            assert len(json.loads(body)["addresses"]) == 2
+            running.store.second_door_silent = True
+            running.store.second_door.cut()
+            running.store.put("config", "main", documents.configuration(7, keys=("key-7",)))
+            await running.until(lambda: takes_key(other))
+            assert other.logged("taken_from_peer")
+
+    async def takes_key(running: System) -> bool:
+        return (await running.ask("/look/1", key="key-7")).status == 200
+
+    async def directory(running: System) -> Answer:
+        data = b"GET /-/resolve?name=x HTTP/1.1\r\nHost: x\r\n\r\n"
+        return await call(running.host, PORT + 3, data)
+
+    async def names_both(running: System) -> bool:
+        answer = await directory(running)
+        return answer.status == 200 and len(json.loads(answer.body)["addresses"]) == 2
+
+    asyncio.run(play())
