Judge the wait by places instead of recent ends

Change: the expected wait is the line times the mean duration over this front's part of the places; a request is not started without time to finish.

--- a/packages/core/src/gentianpaddle_core/serving/waiting.py
+++ b/packages/core/src/gentianpaddle_core/serving/waiting.py
@@ -8,14 +8,19 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import typing
 
 T = typing.TypeVar("T")
 
-RATE_WINDOW_S = 3.0
-"""Time over which ended requests are counted; a stream takes about 1.5 s."""
+DURATION_WEIGHT = 0.05
+"""Weight of the last request in the mean duration; about twenty are remembered."""
+
+FIRST_DURATION_S = 1.0
+"""Duration that is assumed before the first request has ended; a stream takes about 1.3 s."""
+
+FINISH_SHARE = 0.7
+"""Part of the mean duration that must be left for a request to be worth starting."""
 
 LATE_SHARE = 4
 """One of so many places goes to a late request while others could still be in time."""
@@ -42,7 +47,7 @@
 
     def __init__(self) -> None:
         self._waiting: list[Waiting[T]] = []
-        self._ended_s: collections.deque[float] = collections.deque()
+        self._duration_s: float | None = None
         self._taken = 0
 
     def __len__(self) -> int:
@@ -96,34 +101,48 @@
             self._waiting = [entry for entry in self._waiting if entry.end_s > now_s]
         return gone
 
-    def ended(self, now_s: float) -> None:
+    def ended(self, duration_s: float) -> None:
         """Note that a request of this service has ended and left its place.
 
         Args:
-            now_s: Monotonic time in seconds.
+            duration_s: How long it had the place.
         """
-        self._ended_s.append(now_s)
-        while self._ended_s[0] < now_s - RATE_WINDOW_S:
-            self._ended_s.popleft()
+        known = self._duration_s
+        self._duration_s = (
+            duration_s if known is None else known + DURATION_WEIGHT * (duration_s - known)
+        )
 
-    def expected_wait_s(self, now_s: float) -> float:
+    @property
+    def duration_s(self) -> float:
+        """Mean time for which a request has its place."""
+        return self._duration_s if self._duration_s is not None else FIRST_DURATION_S
+
+    def latest_start_s(self, end_s: float) -> float:
+        """Return the time after which a request is not worth starting.
+
+        Args:
+            end_s: Monotonic time at which it is given up.
+        """
+        return end_s - FINISH_SHARE * self.duration_s
+
+    def expected_wait_s(self, places: float) -> float:
         """Return how long a request that comes now would wait behind all others.
 
+        The places count rather than what has ended lately: nothing ends while a group of engines
+        is down, and what waits then is served when it is back.
+
         Args:
-            now_s: Monotonic time in seconds.
+            places: Requests of this process that the servers take at once.
         """
-        if not self._waiting:
-            return 0.0
-        recent = sum(1 for ended_s in self._ended_s if ended_s >= now_s - RATE_WINDOW_S)
-        return len(self._waiting) * RATE_WINDOW_S / max(1, recent)
+        return len(self._waiting) * self.duration_s / max(places, 0.01)
 
-    def retry_after_s(self, now_s: float, draw: float) -> float:
+    def retry_after_s(self, places: float, draw: float) -> float:
         """Return when a refused caller may come back.
 
         Args:
-            now_s: Monotonic time in seconds.
+            places: Requests of this process that the servers take at once.
             draw: Random number from 0 to 1 that spreads the returns.
         """
         shortest, longest = RETRY_AFTER_LIMITS_S
-        latest_s = min(longest, max(2.0 * shortest, self.expected_wait_s(now_s)))
+        latest_s = min(longest, max(2.0 * shortest, self.expected_wait_s(places)))
         return latest_s * (0.5 + 0.5 * draw)
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -153,10 +153,14 @@
             if isinstance(chosen, service_desk.Refused):
                 await self._no_server(exchange, responder, chosen)
                 return
+            began_s = asyncio.get_running_loop().time()
+            outcome: attempt.Outcome | None = None
             try:
                 outcome = await attempt.run(exchange, chosen, responder)
             finally:
-                desk.released(chosen.id)
+                took_s = asyncio.get_running_loop().time() - began_s
+                served = isinstance(outcome, attempt.Served)
+                desk.released(chosen.id, took_s if served else None)
             self._note(exchange, chosen, outcome)
             if isinstance(outcome, attempt.Served):
                 self._served(exchange, chosen, outcome)
--- a/packages/gateway/src/gentianpaddle_gateway/service_desk.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_desk.py
@@ -91,13 +91,14 @@
             chosen = self._choose(excluded, now_s)
             if chosen is not None:
                 return chosen
-        wait_s = self._line.expected_wait_s(now_s)
-        if now_s + wait_s > end_s:
-            return self._refused("the line is too long", now_s)
+        latest_s = self._line.latest_start_s(end_s)
+        places = self._places(now_s)
+        if now_s + self._line.expected_wait_s(places) > latest_s:
+            return self._refused("no place in time" if places else "no server", now_s)
         ticket = _Ticket(excluded, asyncio.get_running_loop().create_future())
         self._line.add(
             waiting.Waiting(
-                ticket, arrived_s, arrived_s + route.target_s - START_ALLOWANCE_S, end_s
+                ticket, arrived_s, arrived_s + route.target_s - START_ALLOWANCE_S, latest_s
             )
         )
         try:
@@ -113,16 +114,23 @@
             return self._refused("no server had room in time", asyncio.get_running_loop().time())
         return chosen
 
-    def released(self, server: ids.BackendServerId) -> None:
+    def released(self, server: ids.BackendServerId, served_in_s: float | None) -> None:
         """Take a server back.
 
         Args:
             server: Server of a request that has ended.
+            served_in_s: How long the server took, or None if it did not serve the request.
         """
         self._load.finished(server)
-        self._line.ended(asyncio.get_running_loop().time())
+        if served_in_s is not None:
+            self._line.ended(served_in_s)
         self.pump()
 
+    def _places(self, now_s: float) -> float:
+        """Return this front's part of the places of all servers."""
+        known = self._view.usable(self._service().name, now_s)
+        return sum(entry.slots for entry in known) / self._processes()
+
     def pump(self) -> None:
         """Start what can start and turn away what cannot be served any more."""
         now_s = asyncio.get_running_loop().time()
@@ -161,4 +169,4 @@
         return chosen
 
     def _refused(self, reason: str, now_s: float) -> Refused:
-        return Refused(reason, self._line.retry_after_s(now_s, random.random()))
+        return Refused(reason, self._line.retry_after_s(self._places(now_s), random.random()))
