--- a/packages/gateway/src/gentianpaddle_gateway/side.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side.py
@@ -79,6 +79,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         log.event(_logger, "start", engine=self._engine_address)
         self._datagrams = await peers.open_datagrams(
             self._settings.ip, self._settings.port, lambda data: None
@@ -97,6 +98,12 @@
             task.cancel()
         log.event(_logger, "stop")
 
+    def _reload(self) -> None:
+        # Nothing of a side changes while it runs; a changed address comes with a new start.
+        read = settings.read()
+        rejected = isinstance(read, settings.Rejected)
+        log.event(_logger, "reload", changed=read != self._settings, rejected=rejected)
+
     async def _read_shape(self) -> None:
         while True:
             listing = await self._store.list(documents.CONFIGURATION_KIND, stale=True)
