Let requests wait while a group of engines forms

Ruled out: too little capacity; the line was empty while servers declined. Change: an engine that reports its load is used only while its report says open; a request that has not run waits for the budget; watches pause after news so that one call tells several changes.

--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -63,7 +63,16 @@
     status: int
 
 
-NextStep = Repeat | PassOn | Refuse | Fail
+@dataclasses.dataclass(frozen=True, slots=True)
+class Later:
+    """Ask again after `BUDGET_PAUSE_S`; the shared budget is used up for now."""
+
+
+NextStep = Repeat | PassOn | Refuse | Fail | Later
+
+BUDGET_PAUSE_S = 0.25
+"""Pause before the budget is asked again. The request has not run and can still be served; a
+refusal would only make its caller come back to the same servers."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,7 +123,7 @@
     if allowed and in_time and budget():
         return Repeat()
     if not ran:
-        return Refuse()
+        return Later() if in_time and remaining_s > 2.0 * BUDGET_PAUSE_S else Refuse()
     if isinstance(result, ServerFailure):
         return PassOn()
     return Fail(504 if remaining_s <= REPEAT_MARGIN_S else 502)
--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -32,6 +32,10 @@
 NEAR_TIE = 0.5
 """Difference of load below which servers are equal, so that processes do not pick the same one."""
 
+REPORTS_LOST_S = 3.0
+"""Time without any report of a service's engines after which they are used without; the processes
+that report are back about 1 s after a loss of power, groups of engines form after them."""
+
 DECLINED_PAUSE_S = 0.25
 """Time for which a server that declined a request gets none, unless it reports room before; a
 group that forms or a full queue takes longer than a repeat."""
@@ -75,10 +79,12 @@
     Args:
         data_centre: Where this process runs.
         seed: Seed of the choice among equals.
+        now_s: Monotonic time in seconds.
     """
 
-    def __init__(self, data_centre: ids.DataCentreId, seed: int) -> None:
+    def __init__(self, data_centre: ids.DataCentreId, seed: int, now_s: float) -> None:
         self._data_centre = data_centre
+        self._last_report_s = now_s
         self._random = random.Random(seed)
         self._load_by_id: dict[ids.BackendServerId, ServerLoad] = {}
 
@@ -111,6 +117,7 @@
         load.reported, load.reported_s = requests, now_s
         load.own_at_report = load.own
         load.open, load.slowness = group_open, slowness
+        self._last_report_s = now_s
 
     def started(self, server: ids.BackendServerId, now_s: float) -> None:
         """Note that a request is sent.
@@ -165,7 +172,8 @@
         self,
         candidates: Sequence[servers.ServerEntry],
         excluded: Collection[ids.BackendServerId],
-        room: int | None,
+        room: int,
+        reporting: bool,
         now_s: float,
     ) -> servers.ServerEntry | None:
         """Choose a server for a request.
@@ -173,7 +181,9 @@
         Args:
             candidates: Servers that may get it.
             excluded: Servers that have had it.
-            room: Requests beyond a server's slots that it may have, or None for any number.
+            room: Requests beyond a server's slots that it may have.
+            reporting: Whether these servers report their load; one that does not is not known to
+                take work, as its group may not have formed yet.
             now_s: Monotonic time in seconds.
 
         Returns:
@@ -182,14 +192,14 @@
         open_servers = [
             entry
             for entry in candidates
-            if entry.id not in excluded and self._is_open(entry.id, now_s)
+            if entry.id not in excluded and self._is_open(entry.id, reporting, now_s)
         ]
         sound = [entry for entry in open_servers if not self._is_suspect(entry.id, now_s)]
         scored = []
         for entry in sound or open_servers:
             load = self.load(entry.id)
             total = load.total(now_s)
-            if room is not None and total >= entry.slots + room:
+            if total >= entry.slots + room:
                 continue
             score = total * load.slowness + FAILURE_PENALTY * load.failures
             if entry.data_centre != self._data_centre:
@@ -200,25 +210,28 @@
         limit = min(score for score, _ in scored) + NEAR_TIE
         return self._random.choice([entry for score, entry in scored if score <= limit])
 
-    def _is_open(self, server: ids.BackendServerId, now_s: float) -> bool:
+    def _is_open(self, server: ids.BackendServerId, reporting: bool, now_s: float) -> bool:
         load = self.load(server)
         if now_s < load.declined_until_s:
             return False
-        return load.open or now_s - load.reported_s > REPORT_AGE_LIMIT_S
+        if now_s - load.reported_s <= REPORT_AGE_LIMIT_S:
+            return load.open
+        return not reporting or now_s - self._last_report_s > REPORTS_LOST_S
 
     def _is_suspect(self, server: ids.BackendServerId, now_s: float) -> bool:
         load = self.load(server)
         return load.failures > SUSPECT_SHARE and now_s - load.tried_s < TRIAL_INTERVAL_S
 
 
-def new_placement(data_centre: ids.DataCentreId, seed: int) -> Placement:
+def new_placement(data_centre: ids.DataCentreId, seed: int, now_s: float) -> Placement:
     """Create a placement without any load.
 
     Args:
         data_centre: Where this process runs.
         seed: Seed of the choice among equals.
+        now_s: Monotonic time in seconds.
 
     Returns:
         The placement.
     """
-    return Placement(data_centre, seed)
+    return Placement(data_centre, seed, now_s)
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -169,18 +169,28 @@
             exchange.history.add(result)
             if not isinstance(result, attempts.NotRun):
                 tried.append(chosen.id)
+            step = await self._next_step(exchange, result)
+            if not isinstance(step, attempts.Repeat):
+                await self._end(exchange, responder, step, outcome)
+                return
+
+    async def _next_step(
+        self, exchange: attempt.Exchange, result: attempts.AttemptResult
+    ) -> attempts.NextStep:
+        """Decide what follows an attempt, and wait for the budget where that helps."""
+        budget = self._budget(exchange.service.name)
+        loop = asyncio.get_running_loop()
+        while True:
             step = attempts.next_step(
                 exchange.route,
                 exchange.history,
                 result,
                 exchange.remaining_s(),
-                lambda: self._budget(service.name).take(
-                    self._processes(), asyncio.get_running_loop().time()
-                ),
+                lambda: budget.take(self._processes(), loop.time()),
             )
-            if not isinstance(step, attempts.Repeat):
-                await self._end(exchange, responder, step, outcome)
-                return
+            if not isinstance(step, attempts.Later):
+                return step
+            await asyncio.sleep(attempts.BUDGET_PAUSE_S)
 
     def _note(
         self, exchange: attempt.Exchange, server: servers.ServerEntry, outcome: attempt.Outcome
--- a/packages/gateway/src/gentianpaddle_gateway/service_desk.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_desk.py
@@ -159,8 +159,10 @@
                 for entry in candidates
                 if self._cold.allows(entry.id, service.cold_rate_per_s, processes, now_s)
             ]
-        room = ENGINE_ROOM if service.engine is not None else PLAIN_ROOM
-        chosen = self._load.choose(candidates, excluded, room, now_s)
+        engine = service.engine
+        room = ENGINE_ROOM if engine is not None else PLAIN_ROOM
+        reporting = engine is not None and engine.experts is not None
+        chosen = self._load.choose(candidates, excluded, room, reporting, now_s)
         if chosen is None:
             return None
         self._load.started(chosen.id, now_s)
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -20,6 +20,10 @@
 """Longest wait of a watch. Each call is priced; news that a dead connection holds back is noticed
 from the revisions that other processes know."""
 
+NEWS_PAUSE_S = 0.15
+"""Pause after a change before the next watch, so that one call tells several; servers come and go in
+groups, and the tightest bound on news is 2 s."""
+
 RETRY_LIMITS_S = (0.15, 0.8)
 """Pauses after failed calls, doubled from the first to the last and spread by half."""
 
@@ -99,6 +103,7 @@
             self._take_change(change)
         if result.changes:
             self.at = max(self.at, result.revision)
+            await asyncio.sleep(NEWS_PAUSE_S)
 
     def _take_change(self, change: objects.Change) -> None:
         name, revision = change.object.name, change.object.revision
