Mend the start of the front and wait for holds by event in a test

Its test of a killed side looked for a hold every 20 ms and missed holds of 10 to 30 ms (seen twice). Change: the argument; the stand-in tells of an accepted hold.

--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import signal
+import time
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import members, placement, routes
@@ -63,7 +64,9 @@
         )
         self._members = members.MemberView(self._member)
         self._known = beliefs.Beliefs(process_settings.store_address)
-        self._load = placement.new_placement(process_settings.data_centre, random.getrandbits(32))
+        self._load = placement.new_placement(
+            process_settings.data_centre, random.getrandbits(32), time.monotonic()
+        )
         self._meters = meters.new_meters()
         self._forwarder = forwarder.Forwarder(
             self._known, self._load, process_settings, self._members.sharers, self._meters
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -21,8 +21,8 @@
 from the revisions that other processes know."""
 
 NEWS_PAUSE_S = 0.15
-"""Pause after a change before the next watch, so that one call tells several; servers come and go in
-groups, and the tightest bound on news is 2 s."""
+"""Pause after a change before the next watch, so that one call tells several; servers come and go
+in groups, and the tightest bound on news is 2 s."""
 
 RETRY_LIMITS_S = (0.15, 0.8)
 """Pauses after failed calls, doubled from the first to the last and spread by half."""
--- a/packages/gateway/tests/test_side_process.py
+++ b/packages/gateway/tests/test_side_process.py
@@ -104,8 +104,9 @@
 
     async def play(group: Group) -> None:
         for wanted in (1, 6, 3):
+            group.engines.hold_taken.clear()
             group.engines.wanted = wanted
-            await group.until(lambda: group.engines.engines[0].held is not None)
+            await asyncio.wait_for(group.engines.hold_taken.wait(), LIMIT_S)
             group.processes[rank].kill()
             await group.processes[rank].wait()
             await group.start_side(rank)
