Tell servers at one address apart by their start, and pass a failure on at once

Change: datagrams and entries carry the engine's start; a request whose only servers have had it ends with the failure at hand.

--- a/packages/core/src/gentianpaddle_core/serving/servers.py
+++ b/packages/core/src/gentianpaddle_core/serving/servers.py
@@ -30,6 +30,8 @@
     """Requests that it runs at once."""
     draining: bool
     """Whether it takes no new work."""
+    started_ms: int
+    """Unix time of its start, 0 if it does not say."""
     cold_ms: float
     """How much longer it was slow after its start when the entry was written."""
 
@@ -158,13 +160,16 @@
         held = self._held_by_id.get(server)
         return max(0.0, held.cold_until_s - now_s) if held is not None else 0.0
 
-    def id_by_address(self) -> dict[str, ids.BackendServerId]:
-        """Return the servers that are believed to exist by their address."""
-        return {
-            held.entry.address: server
-            for server, held in self._held_by_id.items()
-            if not held.replaced
-        }
+    def by_address(self) -> dict[str, list[ServerEntry]]:
+        """Return the servers that are believed to exist by their address.
+
+        A server that was started again may have a new id beside its old entry.
+        """
+        found: dict[str, list[ServerEntry]] = {}
+        for held in self._held_by_id.values():
+            if not held.replaced:
+                found.setdefault(held.entry.address, []).append(held.entry)
+        return found
 
     def still_listed(self, server: ids.BackendServerId) -> bool:
         """Return whether a server may still be there."""
--- a/packages/core/tests/test_serving_decisions.py
+++ b/packages/core/tests/test_serving_decisions.py
@@ -123,6 +123,7 @@
         data_centre=ids.DataCentreId(data_centre),
         slots=slots,
         draining=draining,
+        started_ms=0,
         cold_ms=0.0,
     )
 
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -146,12 +146,13 @@
         desk = self._desk(service.name)
         self._budget(service.name).first(asyncio.get_running_loop().time())
         tried: list[ids.BackendServerId] = []
+        last: attempt.Outcome | None = None
         while True:
             chosen = await desk.acquire(
                 exchange.route, tried, exchange.request.began_s, exchange.end_s
             )
             if isinstance(chosen, service_desk.Refused):
-                await self._no_server(exchange, responder, chosen)
+                await self._no_server(exchange, responder, chosen, last)
                 return
             began_s = asyncio.get_running_loop().time()
             outcome: attempt.Outcome | None = None
@@ -162,6 +163,7 @@
                 served = isinstance(outcome, attempt.Served)
                 desk.released(chosen.id, took_s if served else None)
             self._note(exchange, chosen, outcome)
+            last = outcome
             if isinstance(outcome, attempt.Served):
                 self._served(exchange, chosen, outcome)
                 return
@@ -243,7 +245,11 @@
         exchange: attempt.Exchange,
         responder: http_server.Responder,
         refused: service_desk.Refused,
+        last: attempt.Outcome | None,
     ) -> None:
+        if isinstance(last, attempt.Answered):
+            await self._end(exchange, responder, attempts.PassOn(), last)
+            return
         if exchange.history.runs:
             await self._end(exchange, responder, attempts.Fail(502), attempts.Lost(refused.reason))
             return
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -9,7 +9,7 @@
 import time
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import members, placement, routes
+from gentianpaddle_core.serving import members, placement, routes, servers
 from gentianpaddle_gateway import (
     beliefs,
     forwarder,
@@ -82,7 +82,7 @@
         self._datagrams: peers.Datagrams | None = None
         self._stopping = asyncio.Event()
         self._behind_since_s: float | None = None
-        self._server_by_address: dict[str, ids.BackendServerId] = {}
+        self._servers_by_address: dict[str, list[servers.ServerEntry]] = {}
 
     @property
     def _serving(self) -> bool:
@@ -179,10 +179,13 @@
         now_s = asyncio.get_running_loop().time()
         load = peers.decode_load(data)
         if load is not None:
-            server = self._server_by_address.get(load.address)
-            if server is not None:
-                self._load.reported(server, load.requests, load.group_open, load.slowness, now_s)
-                self._forwarder.pump()
+            for entry in self._servers_by_address.get(load.address, ()):
+                # Another start at this address is another server, with an id of its own.
+                if entry.started_ms in (0, load.started_ms):
+                    self._load.reported(
+                        entry.id, load.requests, load.group_open, load.slowness, now_s
+                    )
+            self._forwarder.pump()
             return
         heartbeat = peers.decode_heartbeat(data)
         if heartbeat is None or heartbeat.member.vm == self._member.vm:
@@ -237,8 +240,9 @@
                 pass
             if self._known.changed.is_set():
                 self._known.changed.clear()
-                self._server_by_address = self._known.servers.id_by_address()
-                self._load.forget(set(self._server_by_address.values()))
+                found = self._known.servers.by_address()
+                self._servers_by_address = found
+                self._load.forget({entry.id for group in found.values() for entry in group})
             self._forwarder.pump()
 
     async def _leave(self) -> None:
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -29,9 +29,9 @@
 FORGET_AFTER_S = 60.0
 """Silence after which a front's registration is removed; a live one registers again."""
 
-_LOAD = struct.Struct("!cB4sHHHH")
+_LOAD = struct.Struct("!cB4sHHHQ")
 """Mark, whether the group is open, address and port of the engine, requests, slowness in
-hundredths, rank."""
+hundredths, Unix time of the engine's start in ms."""
 _LOAD_MARK = b"L"
 _HEARTBEAT_MARK = b"H"
 
@@ -87,7 +87,9 @@
     return protocol
 
 
-def encode_load(address: str, requests: int, group_open: bool, slowness: float, rank: int) -> bytes:
+def encode_load(
+    address: str, requests: int, group_open: bool, slowness: float, started_ms: int
+) -> bytes:
     """Encode an engine's load.
 
     Args:
@@ -95,7 +97,7 @@
         requests: Requests that run or wait there.
         group_open: Whether its group takes work.
         slowness: Time of its work relative to a healthy engine.
-        rank: Its rank.
+        started_ms: Unix time of its start.
 
     Returns:
         The datagram.
@@ -108,7 +110,7 @@
         int(port),
         min(requests, 65_535),
         min(int(slowness * 100.0), 65_535),
-        rank,
+        started_ms,
     )
 
 
@@ -119,6 +121,7 @@
     requests: int
     group_open: bool
     slowness: float
+    started_ms: int
 
 
 def decode_load(data: bytes) -> EngineLoad | None:
@@ -132,9 +135,13 @@
     """
     if len(data) != _LOAD.size or not data.startswith(_LOAD_MARK):
         return None
-    _, group_open, host, port, requests, slowness, _ = _LOAD.unpack(data)
+    _, group_open, host, port, requests, slowness, started_ms = _LOAD.unpack(data)
     return EngineLoad(
-        f"{socket.inet_ntoa(host)}:{port}", requests, bool(group_open), slowness / 100.0
+        f"{socket.inet_ntoa(host)}:{port}",
+        requests,
+        bool(group_open),
+        slowness / 100.0,
+        started_ms,
     )
 
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_desk.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_desk.py
@@ -91,6 +91,9 @@
             chosen = self._choose(excluded, now_s)
             if chosen is not None:
                 return chosen
+        known = self._view.usable(self._service().name, now_s)
+        if excluded and all(entry.id in excluded for entry in known):
+            return self._refused("no other server", now_s)
         latest_s = self._line.latest_start_s(end_s)
         places = self._places(now_s)
         if now_s + self._line.expected_wait_s(places) > latest_s:
--- a/packages/gateway/src/gentianpaddle_gateway/side.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side.py
@@ -140,7 +140,7 @@
             report.running + report.queued,
             report.group_open,
             report.slowness,
-            report.rank,
+            report.started_ms,
         )
         if self._datagrams is None or (
             data == self._sent and now_s - self._sent_s < REPEAT_INTERVAL_S
--- a/packages/gateway/tests/test_front_process.py
+++ b/packages/gateway/tests/test_front_process.py
@@ -15,6 +15,7 @@
 import pytest
 from gentianpaddle_platform_standins import documents, replica, store
 
+from gentianpaddle_core.serving import servers
 from gentianpaddle_platform import headers, settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -277,6 +278,25 @@
     asyncio.run(play())
 
 
+def test_a_failure_is_passed_on_when_no_other_server_is_left(tmp_path: pathlib.Path) -> None:
+    """Guards against a request that is held to its end although its answer is there."""
+
+    async def play() -> None:
+        async with system(tmp_path) as running:
+            first, second = running.replicas
+            # An entry that vanishes around the first contact is kept for the grace time.
+            await asyncio.sleep(servers.REGISTRATION_GRACE_S)
+            running.store.remove("servers", second.server)
+            await asyncio.sleep(0.3)
+            first.troubles = [replica.Trouble.ERROR]
+            began_s = asyncio.get_running_loop().time()
+            answer = await running.ask("/look/1")
+            assert (answer.status, answer.body) == (500, b"failed")
+            assert asyncio.get_running_loop().time() - began_s < 0.5
+
+    asyncio.run(play())
+
+
 def test_a_timeout_is_answered_in_time(tmp_path: pathlib.Path) -> None:
     """Guards against requests that are held past the time-out of their route."""
 
