Take a change of maps back for a coordinator that stands still

Ruled out: releasing the hold alone; in test_map_change two of 80 runs with a frozen process then had two maps in one pass. Change: ranks 1 to 4 look at a group that makes no pass and take the change back, calling engines directly where the process beside them is silent.

--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -6,6 +6,10 @@
 While the hold lasts that pass cannot begin, so a change that stops half-way delays the group but
 never mixes maps. Each order names the number of orders that the rank has accepted, so it takes
 effect at most once and never after a newer one.
+
+When the process that made a change stands still, another one takes the change back. Both may then
+act at the same time: arming and releasing name the counts from before the hold, so they are void
+once the other process has given any order.
 """
 
 from __future__ import annotations
@@ -67,7 +71,13 @@
     at_pass: int = 0
     began_s: float = 0.0
     """Monotonic time at which the phase began."""
+    _helps: bool = False
+    """Whether this process only takes back what another one has left."""
     _fence_by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
+    _count_by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
+    """Accepted orders by rank from before the hold; of the holding rank with the hold."""
+    _void_count: int | None = None
+    """Accepted orders of the holding rank after orders on their way to it were made void."""
 
     def begin(self, layout: expert_layout.Layout, reports: Reports, now_s: float) -> None:
         """Begin a change.
@@ -89,6 +99,22 @@
         block = max(seen) // VERSION_BLOCK + 1
         self.version = block * VERSION_BLOCK + self.draws.randrange(VERSION_BLOCK)
 
+    def take_back(self, reports: Reports, now_s: float) -> bool:
+        """Take back what another process has left half-way.
+
+        Args:
+            reports: Fresh reports by rank.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether there is anything to take back.
+        """
+        if len(reports) < self.size or reports[HOLDING_RANK].held_pass is None:
+            return False
+        self._helps = True
+        self._start_taking_back(reports, now_s)
+        return True
+
     def _enter(self, phase: Phase, now_s: float) -> None:
         self.phase, self.began_s = phase, now_s
 
@@ -144,15 +170,17 @@
         if all(report.map_version == self.version for report in reports.values()):
             self._enter(Phase.IDLE, now_s)
             return {}
-        # A hold that was ordered before and carried out late would keep the group for good.
-        report = reports[HOLDING_RANK]
-        return self._go(report) if report.held_pass is not None else {}
+        if reports[HOLDING_RANK].held_pass is not None:
+            # A hold that was ordered before and carried out late would keep the group for good.
+            self._start_taking_back(reports, now_s)
+            return self._take_back(reports, now_s)
+        return {}
 
     def _prepare(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         missing = {r: rep for r, rep in reports.items() if rep.prepared_version != self.version}
         if not missing:
             self._enter(Phase.HOLDING, now_s)
-            self.at_pass = _next_pass(reports)
+            self._choose_pass(reports)
             return self._hold(reports, now_s)
         if now_s - self.began_s > PREPARE_LIMIT_S:
             self._enter(Phase.IDLE, now_s)
@@ -165,31 +193,41 @@
             if not report.busy
         }
 
+    def _choose_pass(self, reports: Reports) -> None:
+        self.at_pass = LEAD_PASSES + max(report.passes for report in reports.values())
+        self._count_by_rank = {rank: report.orders for rank, report in reports.items()}
+
     def _hold(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         report = reports[HOLDING_RANK]
-        if report.held_pass == self.at_pass:
-            self._enter(Phase.ARMING, now_s)
-            return self._arm(reports, now_s)
         if report.held_pass is not None:
-            # A hold that was ordered before and carried out late; a rank has one at a time.
-            self.at_pass = report.held_pass
-            self._enter(Phase.ARMING, now_s)
-            return self._arm(reports, now_s)
+            own = report.held_pass == self.at_pass
+            if own and report.orders == self._count_by_rank[HOLDING_RANK] + 1:
+                self._count_by_rank[HOLDING_RANK] = report.orders
+                self._enter(Phase.ARMING, now_s)
+                return self._arm(reports, now_s)
+            # Another process ordered it, maybe long ago; nothing may be armed under it.
+            self._start_taking_back(reports, now_s)
+            return self._take_back(reports, now_s)
         if report.passes >= self.at_pass:
-            self.at_pass = _next_pass(reports)
-        return {
-            HOLDING_RANK: self._order(engine_state.Operation.HOLD, report, at_pass=self.at_pass)
-        }
+            self._choose_pass(reports)
+        elif report.orders != self._count_by_rank[HOLDING_RANK]:
+            self._enter(Phase.IDLE, now_s)
+            return {}
+        order = self._order(engine_state.Operation.HOLD, report, at_pass=self.at_pass)
+        return {HOLDING_RANK: order}
 
     def _arm(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         wanted = (self.version, self.at_pass)
         missing = {r: rep for r, rep in reports.items() if rep.armed != wanted}
+        disturbed = reports[HOLDING_RANK].held_pass != self.at_pass or any(
+            report.orders != self._count_by_rank[rank] for rank, report in missing.items()
+        )
+        if disturbed or now_s - self.began_s > ARM_LIMIT_S:
+            self._start_taking_back(reports, now_s)
+            return self._take_back(reports, now_s)
         if not missing:
             self._enter(Phase.RELEASING, now_s)
             return self._release(reports, now_s)
-        if now_s - self.began_s > ARM_LIMIT_S:
-            self._start_taking_back(reports, now_s)
-            return self._take_back(reports, now_s)
         return {
             rank: self._order(
                 engine_state.Operation.ARM, report, version=self.version, at_pass=self.at_pass
@@ -202,10 +240,17 @@
         if report.held_pass is None:
             self._enter(Phase.SWITCHING, now_s)
             return {}
+        if (
+            report.held_pass != self.at_pass
+            or report.orders != self._count_by_rank[HOLDING_RANK] + 1
+        ):
+            self._start_taking_back(reports, now_s)
+            return self._take_back(reports, now_s)
         return self._go(report)
 
     def _start_taking_back(self, reports: Reports, now_s: float) -> None:
         self._enter(Phase.TAKING_BACK, now_s)
+        self._void_count = None
         # An order that is still on its way names one of these counts; it is void once the rank
         # has accepted another order.
         self._fence_by_rank = {rank: report.orders for rank, report in reports.items()}
@@ -218,7 +263,7 @@
             if all(r.armed == armed or r.map_version == armed[0] for r in reports.values()):
                 # The hold was released because all were armed: the change is as good as done.
                 self.version = armed[0]
-                self._enter(Phase.SWITCHING, now_s)
+                self._enter(Phase.IDLE if self._helps else Phase.SWITCHING, now_s)
                 return {}
             # A rank may only be disarmed while the pass that it is armed for cannot begin.
             return {
@@ -230,6 +275,12 @@
             return {HOLDING_RANK: order}
         if report.busy:
             return {}
+        if self._void_count is None:
+            self._void_count = report.orders
+        elif report.orders != self._void_count and report.held_pass is not None:
+            # Another process has ordered something since; a release would not be its last word.
+            self._start_taking_back(reports, now_s)
+            return {}
         orders = {}
         for rank, other in reports.items():
             if (order := self._void(rank, other)) is not None:
@@ -267,7 +318,3 @@
         layout: expert_layout.Layout | None = None,
     ) -> engine_state.Order:
         return engine_state.Order(operation, self.epoch, report.orders, version, at_pass, layout)
-
-
-def _next_pass(reports: Reports) -> int:
-    return max(report.passes for report in reports.values()) + LEAD_PASSES
--- a/packages/core/tests/test_map_change.py
+++ b/packages/core/tests/test_map_change.py
@@ -181,3 +181,56 @@
     assert not group.ranks[2].carry_out(late, group.passes)
     for _ in range(20):
         group.make_pass()
+
+
+class StaleView:
+    """Reports as a process has them: each read at another moment, some rounds ago."""
+
+    def __init__(self, group: Group) -> None:
+        self._group = group
+        self._reports = group.reports()
+
+    def read(self) -> dict[int, engine_state.EngineReport]:
+        fresh = self._group.reports()
+        for number, report in fresh.items():
+            if self._group.random.random() < 0.7:
+                self._reports[number] = report
+        return dict(self._reports)
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.3])
+@pytest.mark.parametrize("seed", range(40))
+def test_a_frozen_process_and_the_one_that_takes_back(lost: float, seed: int) -> None:
+    """Guards against two maps in a pass when a process wakes while another one helps."""
+    group = Group(seed, lost)
+    owner = map_change.MapChange(1, RANKS, group.random)
+    owner_view, helper_view = StaleView(group), StaleView(group)
+    helper: map_change.MapChange | None = None
+    frozen_until = 0
+    for step in range(3_000):
+        now_s = group.round * ROUND_S
+        orders: list[tuple[int, engine_state.Order, map_change.MapChange]] = []
+        if step >= frozen_until:
+            if group.random.random() < 0.02:
+                frozen_until = step + group.random.randrange(5, 120)
+            reports = owner_view.read()
+            clean = not any(r.armed or r.held_pass is not None for r in reports.values())
+            idle = owner.phase is map_change.Phase.IDLE
+            if idle and group.random.random() < 0.1 and clean:
+                owner.begin(((),), reports, now_s)
+            orders += [(n, o, owner) for n, o in owner.next_orders(reports, now_s).items()]
+        if helper is None and group.random.random() < 0.05:
+            helper = map_change.MapChange(1, RANKS, group.random)
+            if not helper.take_back(helper_view.read(), now_s):
+                helper = None
+        elif helper is not None:
+            found = helper.next_orders(helper_view.read(), now_s)
+            orders += [(n, o, helper) for n, o in found.items()]
+            if helper.phase is map_change.Phase.IDLE:
+                helper = None
+        group.random.shuffle(orders)
+        for number, order, change in orders:
+            if group.give(number, order) is False:
+                change.declined(order, now_s)
+        group.advance()
+    assert group.passes > 50
--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -26,9 +26,25 @@
 """Least part of the fullest ranks' load for which a change pays: copies make passes 15 % longer
 for about 0.3 s of the 3 to 4 s for which demand stays."""
 
-IDLE_INTERVAL_S = 0.5
+IDLE_INTERVAL_S = 0.2
 """Pause of a process that does not coordinate."""
 
+STALL_S = 0.6
+"""Time without a pass, while there is work, after which rank 1 looks whether the group is held; a
+pass takes 0.2 s at most and an undisturbed hold 0.05 s."""
+
+STALL_STEP_S = 0.5
+"""Further time for each higher rank."""
+
+HELPING_RANKS = 4
+"""Ranks that look; their VMs rarely stand still together."""
+
+HELP_LIMIT_S = 3.0
+"""Time after which a process stops taking a change back and looks again."""
+
+SILENT_S = 2.0
+"""Time for which an engine is called directly after the process beside it did not answer."""
+
 
 class Coordinator:
     """Keeps the experts of a group where they are asked for.
@@ -42,7 +58,10 @@
         self._view = view
         self._engine = engine
         self._transport_by_address: dict[str, http_client.KeptTransport] = {}
-        self._address_by_rank: dict[int, str] = {}
+        self._member_by_rank: dict[int, members.Member | None] = {}
+        self._direct_by_address: dict[str, local_engine.LocalEngine] = {}
+        self._silent_until_s: dict[str, float] = {}
+        self._stalled: tuple[tuple[int, int], float] | None = None
         self._reports: dict[int, engine_state.EngineReport] = {}
         self._change: map_change.MapChange | None = None
         self._group: tuple[str | None, int] = (None, 0)
@@ -64,27 +83,75 @@
             )
             if not coordinates or report is None:
                 self._change = None
+                await self._look_for_stall(report)
                 await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
             if self._change is None or self._group != (report.group, report.epoch):
                 self._start(report)
             await self._cycle()
 
+    async def _look_for_stall(self, report: engine_state.EngineReport | None) -> None:
+        """Take a change back whose coordinator stands still while the group is held."""
+        now_s = asyncio.get_running_loop().time()
+        if (
+            report is None
+            or report.group is None
+            or not report.group_open
+            or not map_change.HOLDING_RANK < report.rank <= HELPING_RANKS
+            or not (report.running or report.queued or report.armed)
+        ):
+            self._stalled = None
+            return
+        at = (report.epoch, report.passes)
+        if self._stalled is None or self._stalled[0] != at:
+            self._stalled = (at, now_s)
+            return
+        if now_s - self._stalled[1] > STALL_S + STALL_STEP_S * (report.rank - 1):
+            self._stalled = None
+            await self._help(report)
+
+    async def _help(self, report: engine_state.EngineReport) -> None:
+        self._start(report)
+        change = self._change
+        assert change is not None
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + HELP_LIMIT_S
+        await self._observe(local_engine.STATE_TARGET, direct=True)
+        await self._read_layout(change.size)
+        if self._in_force is None or not change.take_back(self._reports, loop.time()):
+            log.event(_logger, "stall_without_hold", passes=report.passes, epoch=report.epoch)
+            return
+        log.event(_logger, "takes_change_back", passes=report.passes, epoch=report.epoch)
+        while change.phase is not map_change.Phase.IDLE and loop.time() < end_s:
+            orders = change.next_orders(self._reports, loop.time())
+            await self._give(change, orders)
+            if not orders:
+                await self._observe(local_engine.STATE_TARGET, direct=True)
+        log.event(_logger, "change_taken_back", complete=change.phase is map_change.Phase.IDLE)
+
     def _start(self, report: engine_state.EngineReport) -> None:
         self._group = (report.group, report.epoch)
         self._change = map_change.MapChange(report.epoch, report.size, random.SystemRandom())
         self._in_force = None
         self._reports = {}
+        self._member_by_rank = {}
         if self.shape is not None and self._demand is None:
             self._demand = expert_demand.Demand(self.shape.sets, self.shape.experts)
-        log.event(_logger, "coordinates", group=report.group, epoch=report.epoch, ranks=report.size)
+        log.event(
+            _logger,
+            "coordinates",
+            group=report.group,
+            epoch=report.epoch,
+            ranks=report.size,
+            rank=report.rank,
+        )
 
     async def _cycle(self) -> None:
         change = self._change
         assert change is not None
         idle = change.phase is map_change.Phase.IDLE
         target = local_engine.COUNTS_TARGET if idle else local_engine.STATE_TARGET
-        await self._observe(target)
+        await self._observe(target, direct=not idle)
         now_s = asyncio.get_running_loop().time()
         if len(self._reports) == change.size and self._in_force is None:
             await self._read_layout(change.size)
@@ -113,47 +180,57 @@
             at_pass=change.at_pass,
         )
 
-    async def _observe(self, target: str) -> None:
+    async def _observe(self, target: str, direct: bool) -> None:
         """Read the state of all ranks, and their counts if the target says so."""
-        addresses = [
-            f"{member.ip}:{member.port}"
-            for member in self._view.others()
-            if member.engine_address is not None
-        ]
-        states = await asyncio.gather(
-            self._local_state(target), *(self._state(item, target) for item in addresses)
-        )
+        others = [member for member in self._view.others() if member.engine_address is not None]
+        asked: list[members.Member | None] = [None, *others]
+        states = await asyncio.gather(*(self._ask(item, target, b"", direct) for item in asked))
         self._reports = {}
         total: list[int] = []
-        for address, state in zip(["", *addresses], states, strict=True):
+        for member, state in zip(asked, states, strict=True):
             report = state.report
             if report is None or (report.group, report.epoch) != self._group:
                 continue
             self._reports[report.rank] = report
-            self._address_by_rank[report.rank] = address
+            self._member_by_rank[report.rank] = member
             if state.counts:
-                total = (
-                    [a + b for a, b in zip(total, state.counts, strict=True)]
-                    if total
-                    else (state.counts)
-                )
+                pairs = zip(total, state.counts, strict=True)
+                total = [a + b for a, b in pairs] if total else state.counts
         if total and self._demand is not None and self.shape is not None:
             width = self.shape.experts
             rows = [total[start : start + width] for start in range(0, len(total), width)]
             self._demand.add(rows, asyncio.get_running_loop().time())
 
-    async def _local_state(self, target: str, body: bytes = b"") -> local_engine.State:
-        return local_engine.decode_state(await self._engine.state(target, body))
+    async def _ask(
+        self, member: members.Member | None, target: str, body: bytes, direct: bool
+    ) -> local_engine.State:
+        """Ask the process beside an engine, or the engine itself if that process is silent."""
+        if member is None or member.engine_address is None:
+            return local_engine.decode_state(await self._engine.state(target, body))
+        now_s = asyncio.get_running_loop().time()
+        address = f"{member.ip}:{member.port}"
+        if now_s >= self._silent_until_s.get(address, now_s):
+            transport = self._transport_by_address.setdefault(
+                address, http_client.KeptTransport(address)
+            )
+            method = "POST" if body else "GET"
+            answer = await transport.call(
+                method, target, body or None, local_engine.REMOTE_TIMEOUT_S
+            )
+            if isinstance(answer, objects.Answer):
+                return local_engine.decode_state(answer.body)
+            self._silent_until_s[address] = now_s + SILENT_S
+            log.event(_logger, "side_silent", member=member.vm, reason=answer.reason)
+        if not direct:
+            return local_engine.State(None, engine_state.Unknown("silent"), [])
+        return local_engine.decode_state(
+            await self._direct(member.engine_address).state(target, body)
+        )
 
-    async def _state(self, address: str, target: str, body: bytes = b"") -> local_engine.State:
-        transport = self._transport_by_address.get(address)
-        if transport is None:
-            transport = self._transport_by_address[address] = http_client.KeptTransport(address)
-        method = "POST" if body else "GET"
-        answer = await transport.call(method, target, body or None, local_engine.REMOTE_TIMEOUT_S)
-        if isinstance(answer, objects.Unavailable):
-            return local_engine.State(None, engine_state.Unknown(answer.reason), [])
-        return local_engine.decode_state(answer.body)
+    def _direct(self, engine_address: str) -> local_engine.LocalEngine:
+        return self._direct_by_address.setdefault(
+            engine_address, local_engine.LocalEngine(engine_address)
+        )
 
     async def _give(
         self, change: map_change.MapChange, orders: dict[int, engine_state.Order]
@@ -163,11 +240,8 @@
         calls = []
         for rank in ranks:
             body = engines.encode_order(orders[rank])
-            address = self._address_by_rank.get(rank, "")
-            if address:
-                calls.append(self._state(address, local_engine.ORDERS_TARGET, body))
-            else:
-                calls.append(self._local_state(local_engine.ORDERS_TARGET, body))
+            member = self._member_by_rank[rank]
+            calls.append(self._ask(member, local_engine.ORDERS_TARGET, body, direct=True))
         states = await asyncio.gather(*calls)
         now_s = asyncio.get_running_loop().time()
         for rank, state in zip(ranks, states, strict=True):
@@ -191,18 +265,24 @@
             else:
                 self._reports[rank] = state.report
 
+    async def _layout_of(self, member: members.Member | None) -> bytes:
+        if member is None or member.engine_address is None:
+            return await self._engine.layout()
+        address = f"{member.ip}:{member.port}"
+        if asyncio.get_running_loop().time() >= self._silent_until_s.get(address, 0.0):
+            answer = await self._transport_by_address[address].call(
+                "GET", local_engine.LAYOUT_TARGET, None, local_engine.REMOTE_TIMEOUT_S
+            )
+            if isinstance(answer, objects.Answer):
+                return answer.body
+        return await self._direct(member.engine_address).layout()
+
     async def _read_layout(self, size: int) -> None:
         lists: dict[int, tuple[tuple[int, ...], ...]] = {}
-        for rank, address in self._address_by_rank.items():
+        for rank, member in self._member_by_rank.items():
             if rank >= size:
                 continue
-            if address:
-                answer = await self._transport_by_address[address].call(
-                    "GET", local_engine.LAYOUT_TARGET, None, local_engine.REMOTE_TIMEOUT_S
-                )
-                body = answer.body if isinstance(answer, objects.Answer) else b""
-            else:
-                body = await self._engine.layout()
+            body = await self._layout_of(member)
             held = engines.decode_layout(body)
             if held is None:
                 log.event(
