Make late orders to engines void by versions instead of counts

A temporary log line showed that engines count no orders of map changes: the count stayed 0 after prepare and hold, so what was to be void never was, and a change that was taken back waited for good. Ruled out: declines of the engine; every prepare was accepted. Change: arming is made void by preparing a newer version; a process that takes a change back first makes one rank void that is not armed, so nobody can see all ranks armed; a change with all ranks armed goes forward; passes that were held are not used again. The stand-in counts no orders either.

--- a/packages/core/src/gentianpaddle_core/serving/engine_state.py
+++ b/packages/core/src/gentianpaddle_core/serving/engine_state.py
@@ -28,8 +28,6 @@
     memory_total: int
     slowness: float
     """Time of its work relative to a healthy engine."""
-    orders: int
-    """Orders that it has accepted since its start."""
     busy: bool
     """Whether an order is in progress."""
     passes: int
@@ -72,15 +70,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """An order to one rank.
-
-    `after_orders` makes it take effect at most once and never after a newer one: a rank refuses
-    an order that expects another number of accepted orders than it has.
-    """
+    """An order to one rank; a rank in another epoch refuses it."""
 
     operation: Operation
     epoch: int
-    after_orders: int
     version: int | None = None
     at_pass: int | None = None
     layout: expert_layout.Layout | None = None
--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -1,15 +1,16 @@
 """How a group of engines changes its map of experts without ever running two maps in a pass.
 
-Ranks do not compare maps, orders may be lost or carried out late, and any process may stop at any
-point. The change therefore goes: every rank prepares the map; rank 0 holds a pass that has not
-begun; every rank is armed for that pass; only when all are known to be armed is the hold released.
-While the hold lasts that pass cannot begin, so a change that stops half-way delays the group but
-never mixes maps. Each order names the number of orders that the rank has accepted, so it takes
-effect at most once and never after a newer one.
-
-When the process that made a change stands still, another one takes the change back. Both may then
-act at the same time: arming and releasing name the counts from before the hold, so they are void
-once the other process has given any order.
+Ranks do not compare maps, orders may be lost or carried out seconds late, and any process may stop
+or stand still at any point. The change therefore goes: every rank prepares the map; rank 0 holds a
+pass that has not begun; every rank is armed for that pass; only when all are known to be armed is
+the hold released. While the hold lasts that pass cannot begin, so a change that stops half-way
+delays the group but never mixes maps.
+
+A rank arms only the version that it has prepared last, and versions only go up. An order to arm
+that is still on its way is therefore void once the rank has prepared a newer version. Whoever takes
+a change back makes arming void at a rank that is not armed first: from then on nobody can see all
+ranks armed and release the hold. Passes that were held once are not used again, so a release that
+comes late meets no other hold.
 """
 
 from __future__ import annotations
@@ -64,20 +65,17 @@
     """Ranks of the group."""
     draws: random.Random
     """Source of versions."""
+    in_force: expert_layout.Layout = ()
+    """Map that the group runs."""
     phase: Phase = Phase.IDLE
     layout: expert_layout.Layout = ()
-    """Map that is in force, or that the change leads to."""
+    """Map that the change leads to."""
     version: int = 0
     at_pass: int = 0
     began_s: float = 0.0
     """Monotonic time at which the phase began."""
     _helps: bool = False
     """Whether this process only takes back what another one has left."""
-    _fence_by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
-    _count_by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
-    """Accepted orders by rank from before the hold; of the holding rank with the hold."""
-    _void_count: int | None = None
-    """Accepted orders of the holding rank after orders on their way to it were made void."""
 
     def begin(self, layout: expert_layout.Layout, reports: Reports, now_s: float) -> None:
         """Begin a change.
@@ -91,14 +89,6 @@
         self.layout = layout
         self._enter(Phase.PREPARING, now_s)
 
-    def _draw_version(self, reports: Reports) -> None:
-        seen = [self.version]
-        for report in reports.values():
-            seen += [report.map_version, report.prepared_version or 0]
-            seen.append(report.armed[0] if report.armed else 0)
-        block = max(seen) // VERSION_BLOCK + 1
-        self.version = block * VERSION_BLOCK + self.draws.randrange(VERSION_BLOCK)
-
     def take_back(self, reports: Reports, now_s: float) -> bool:
         """Take back what another process has left half-way.
 
@@ -115,9 +105,6 @@
         self._start_taking_back(reports, now_s)
         return True
 
-    def _enter(self, phase: Phase, now_s: float) -> None:
-        self.phase, self.began_s = phase, now_s
-
     def next_orders(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         """Decide on the next round of orders.
 
@@ -130,8 +117,8 @@
         """
         if len(reports) < self.size:
             return {}
-        if self.phase is Phase.IDLE:
-            self._find_leftovers(reports, now_s)
+        if self.phase is Phase.IDLE and _left_half_way(reports):
+            self._start_taking_back(reports, now_s)
         if self.phase is Phase.PREPARING:
             return self._prepare(reports, now_s)
         if self.phase is Phase.HOLDING:
@@ -146,38 +133,19 @@
             return self._take_back(reports, now_s)
         return {}
 
-    def declined(self, order: engine_state.Order, now_s: float) -> None:
-        """Note that a rank refused an order.
-
-        Args:
-            order: The order.
-            now_s: Monotonic time in seconds.
-        """
-        if order.operation is engine_state.Operation.PREPARE and self.phase in (
-            Phase.PREPARING,
-            Phase.TAKING_BACK,
-        ):
-            # The rank may have had a higher version that it does not report any more.
-            self.version += VERSION_BLOCK
-
-    def _find_leftovers(self, reports: Reports, now_s: float) -> None:
-        """Take back what a process that has stopped left behind."""
-        held = reports[HOLDING_RANK].held_pass is not None
-        if held or any(report.armed is not None for report in reports.values()):
-            self._start_taking_back(reports, now_s)
+    def _enter(self, phase: Phase, now_s: float) -> None:
+        self.phase, self.began_s = phase, now_s
 
-    def _switch(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        if all(report.map_version == self.version for report in reports.values()):
-            self._enter(Phase.IDLE, now_s)
-            return {}
-        if reports[HOLDING_RANK].held_pass is not None:
-            # A hold that was ordered before and carried out late would keep the group for good.
-            self._start_taking_back(reports, now_s)
-            return self._take_back(reports, now_s)
-        return {}
+    def _draw_version(self, reports: Reports) -> None:
+        seen = [self.version]
+        for report in reports.values():
+            seen += [report.map_version, report.prepared_version or 0]
+            seen.append(report.armed[0] if report.armed else 0)
+        block = max(seen) // VERSION_BLOCK + 1
+        self.version = block * VERSION_BLOCK + self.draws.randrange(VERSION_BLOCK)
 
     def _prepare(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        missing = {r: rep for r, rep in reports.items() if rep.prepared_version != self.version}
+        missing = [r for r, rep in reports.items() if rep.prepared_version != self.version]
         if not missing:
             self._enter(Phase.HOLDING, now_s)
             self._choose_pass(reports)
@@ -185,42 +153,30 @@
         if now_s - self.began_s > PREPARE_LIMIT_S:
             self._enter(Phase.IDLE, now_s)
             return {}
-        return {
-            rank: self._order(
-                engine_state.Operation.PREPARE, report, version=self.version, layout=self.layout
-            )
-            for rank, report in missing.items()
-            if not report.busy
-        }
+        order = self._preparation(self.layout)
+        return dict.fromkeys(missing, order)
 
     def _choose_pass(self, reports: Reports) -> None:
-        self.at_pass = LEAD_PASSES + max(report.passes for report in reports.values())
-        self._count_by_rank = {rank: report.orders for rank, report in reports.items()}
+        begun = max(report.passes for report in reports.values())
+        self.at_pass = max(begun + LEAD_PASSES, self.at_pass + 1)
 
     def _hold(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         report = reports[HOLDING_RANK]
-        if report.held_pass is not None:
-            own = report.held_pass == self.at_pass
-            if own and report.orders == self._count_by_rank[HOLDING_RANK] + 1:
-                self._count_by_rank[HOLDING_RANK] = report.orders
-                self._enter(Phase.ARMING, now_s)
-                return self._arm(reports, now_s)
-            # Another process ordered it, maybe long ago; nothing may be armed under it.
+        if report.held_pass == self.at_pass:
+            self._enter(Phase.ARMING, now_s)
+            return self._arm(reports, now_s)
+        if report.held_pass is not None or now_s - self.began_s > ARM_LIMIT_S:
+            # Another process ordered that hold, maybe long ago; a rank has one at a time.
             self._start_taking_back(reports, now_s)
             return self._take_back(reports, now_s)
         if report.passes >= self.at_pass:
             self._choose_pass(reports)
-        elif report.orders != self._count_by_rank[HOLDING_RANK]:
-            self._enter(Phase.IDLE, now_s)
-            return {}
-        order = self._order(engine_state.Operation.HOLD, report, at_pass=self.at_pass)
-        return {HOLDING_RANK: order}
+        return self._to_holder(engine_state.Operation.HOLD, self.at_pass)
 
     def _arm(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        wanted = (self.version, self.at_pass)
-        missing = {r: rep for r, rep in reports.items() if rep.armed != wanted}
+        missing = [r for r, rep in reports.items() if rep.armed != (self.version, self.at_pass)]
         disturbed = reports[HOLDING_RANK].held_pass != self.at_pass or any(
-            report.orders != self._count_by_rank[rank] for rank, report in missing.items()
+            reports[rank].prepared_version != self.version for rank in missing
         )
         if disturbed or now_s - self.began_s > ARM_LIMIT_S:
             self._start_taking_back(reports, now_s)
@@ -228,93 +184,105 @@
         if not missing:
             self._enter(Phase.RELEASING, now_s)
             return self._release(reports, now_s)
-        return {
-            rank: self._order(
-                engine_state.Operation.ARM, report, version=self.version, at_pass=self.at_pass
-            )
-            for rank, report in missing.items()
-        }
+        order = engine_state.Order(
+            engine_state.Operation.ARM, self.epoch, version=self.version, at_pass=self.at_pass
+        )
+        return dict.fromkeys(missing, order)
 
     def _release(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        report = reports[HOLDING_RANK]
-        if report.held_pass is None:
+        if reports[HOLDING_RANK].held_pass != self.at_pass:
             self._enter(Phase.SWITCHING, now_s)
             return {}
-        if (
-            report.held_pass != self.at_pass
-            or report.orders != self._count_by_rank[HOLDING_RANK] + 1
-        ):
+        return self._to_holder(engine_state.Operation.GO, self.at_pass)
+
+    def _switch(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
+        if all(report.map_version == self.version for report in reports.values()):
+            self.in_force = self.layout
+            self._enter(Phase.IDLE, now_s)
+        elif reports[HOLDING_RANK].held_pass is not None or not _agree(reports):
+            # A hold that was ordered before and carried out late would keep the group for good.
             self._start_taking_back(reports, now_s)
             return self._take_back(reports, now_s)
-        return self._go(report)
+        return {}
 
     def _start_taking_back(self, reports: Reports, now_s: float) -> None:
         self._enter(Phase.TAKING_BACK, now_s)
-        self._void_count = None
-        # An order that is still on its way names one of these counts; it is void once the rank
-        # has accepted another order.
-        self._fence_by_rank = {rank: report.orders for rank, report in reports.items()}
         self._draw_version(reports)
 
     def _take_back(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        report = reports[HOLDING_RANK]
+        held = reports[HOLDING_RANK].held_pass
         armed = next((r.armed for r in reports.values() if r.armed is not None), None)
-        if report.held_pass is None and armed is not None:
-            if all(r.armed == armed or r.map_version == armed[0] for r in reports.values()):
-                # The hold was released because all were armed: the change is as good as done.
-                self.version = armed[0]
-                self._enter(Phase.IDLE if self._helps else Phase.SWITCHING, now_s)
-                return {}
-            # A rank may only be disarmed while the pass that it is armed for cannot begin.
-            return {
-                HOLDING_RANK: self._order(engine_state.Operation.HOLD, report, at_pass=armed[1])
-            }
-        # The holding rank goes first: a release that is still on its way is void before any other
-        # rank is disarmed.
-        if (order := self._void(HOLDING_RANK, report)) is not None:
-            return {HOLDING_RANK: order}
-        if report.busy:
+        if armed is not None and _agree(reports):
+            # All are armed: whoever did it may release the hold at any moment, so go forward.
+            if held is not None:
+                return self._to_holder(engine_state.Operation.GO, held)
+            self.version, self.at_pass = armed[0], max(armed[1], self.at_pass)
+            self._enter(Phase.IDLE if self._helps else Phase.SWITCHING, now_s)
             return {}
-        if self._void_count is None:
-            self._void_count = report.orders
-        elif report.orders != self._void_count and report.held_pass is not None:
-            # Another process has ordered something since; a release would not be its last word.
-            self._start_taking_back(reports, now_s)
-            return {}
-        orders = {}
-        for rank, other in reports.items():
-            if (order := self._void(rank, other)) is not None:
-                orders[rank] = order
-        if orders or any(self._fenced(rank, r) is False for rank, r in reports.items()):
+        if armed is not None and held is None:
+            # A rank may only be disarmed while the pass that it is armed for cannot begin.
+            return self._to_holder(engine_state.Operation.HOLD, armed[1])
+        open_ranks = [
+            rank
+            for rank, report in reports.items()
+            if report.armed is None and (report.prepared_version or 0) < self.version
+        ]
+        armed_ranks = [rank for rank, report in reports.items() if report.armed is not None]
+        if armed_ranks and len(armed_ranks) + len(open_ranks) == self.size:
+            # No rank is void yet: make arming void at one before any other is disarmed.
+            return dict.fromkeys(open_ranks, self._preparation(self.in_force))
+        orders = dict.fromkeys(open_ranks, self._preparation(self.in_force))
+        for rank in armed_ranks:
+            armed = reports[rank].armed
+            version = armed[0] if armed is not None else 0
+            orders[rank] = engine_state.Order(
+                engine_state.Operation.DISARM, self.epoch, version=version
+            )
+        if orders:
             return orders
-        if report.held_pass is not None:
-            return self._go(report)
+        if held is not None:
+            self.at_pass = max(self.at_pass, held)
+            return self._to_holder(engine_state.Operation.GO, held)
         self._enter(Phase.IDLE, now_s)
         return {}
 
-    def _fenced(self, rank: int, report: engine_state.EngineReport) -> bool:
-        return report.armed is None and report.orders > self._fence_by_rank[rank]
-
-    def _void(self, rank: int, report: engine_state.EngineReport) -> engine_state.Order | None:
-        """Return the order that takes a rank's arming back or voids an order on its way."""
-        if report.armed is not None:
-            return self._order(engine_state.Operation.DISARM, report, version=report.armed[0])
-        if report.orders > self._fence_by_rank[rank] or report.busy:
-            return None
-        return self._order(
-            engine_state.Operation.PREPARE, report, version=self.version, layout=self.layout
+    def _preparation(self, layout: expert_layout.Layout) -> engine_state.Order:
+        return engine_state.Order(
+            engine_state.Operation.PREPARE, self.epoch, version=self.version, layout=layout
         )
 
-    def _go(self, report: engine_state.EngineReport) -> dict[int, engine_state.Order]:
-        order = self._order(engine_state.Operation.GO, report, at_pass=report.held_pass)
-        return {HOLDING_RANK: order}
-
-    def _order(
-        self,
-        operation: engine_state.Operation,
-        report: engine_state.EngineReport,
-        version: int | None = None,
-        at_pass: int | None = None,
-        layout: expert_layout.Layout | None = None,
-    ) -> engine_state.Order:
-        return engine_state.Order(operation, self.epoch, report.orders, version, at_pass, layout)
+    def _to_holder(
+        self, operation: engine_state.Operation, at_pass: int
+    ) -> dict[int, engine_state.Order]:
+        return {HOLDING_RANK: engine_state.Order(operation, self.epoch, at_pass=at_pass)}
+
+    def declined(self, order: engine_state.Order, now_s: float) -> None:
+        """Note that a rank refused an order.
+
+        Args:
+            order: The order.
+            now_s: Monotonic time in seconds.
+        """
+        if (
+            order.operation is engine_state.Operation.PREPARE
+            and self.phase is Phase.PREPARING
+            and order.version == self.version
+        ):
+            # The rank may have had a higher version that it does not report any more.
+            self.version += VERSION_BLOCK
+
+
+def _left_half_way(reports: Reports) -> bool:
+    held = reports[HOLDING_RANK].held_pass is not None
+    return held or any(report.armed is not None for report in reports.values())
+
+
+def _agree(reports: Reports) -> bool:
+    """Whether all ranks run the same map or are armed for the same one at the same pass."""
+    armed = {report.armed for report in reports.values() if report.armed is not None}
+    if len(armed) != 1:
+        return not armed and len({report.map_version for report in reports.values()}) == 1
+    version = next(iter(armed))[0]
+    return all(
+        report.armed is not None or report.map_version == version for report in reports.values()
+    )
--- a/packages/core/tests/test_map_change.py
+++ b/packages/core/tests/test_map_change.py
@@ -19,7 +19,6 @@
 
     def __init__(self, number: int) -> None:
         self.number = number
-        self.orders = 0
         self.map_version = 0
         self.highest = 0
         self.prepared: int | None = None
@@ -38,7 +37,6 @@
             memory_used=0,
             memory_total=1,
             slowness=1.0,
-            orders=self.orders,
             busy=False,
             passes=passes,
             map_version=self.map_version,
@@ -49,16 +47,16 @@
         )
 
     def carry_out(self, order: engine_state.Order, passes: int) -> bool:
-        if order.after_orders != self.orders:
-            return False
         kind = order.operation
         if kind is engine_state.Operation.PREPARE:
             if order.version <= self.highest or self.armed is not None:
-                return False
+                return order.version == self.prepared
             self.highest = self.prepared = order.version
         elif kind is engine_state.Operation.ARM:
             if self.prepared != order.version or order.at_pass <= passes:
                 return False
+            if self.armed is not None and self.armed != (order.version, order.at_pass):
+                return False
             self.armed = (order.version, order.at_pass)
         elif kind is engine_state.Operation.DISARM:
             if self.armed is None or self.armed[0] != order.version:
@@ -72,7 +70,6 @@
             if self.held != order.at_pass:
                 return False
             self.held = None
-        self.orders += 1
         return True
 
 
--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -254,7 +254,6 @@
                     operation=order.operation.value,
                     version=order.version,
                     at_pass=order.at_pass,
-                    expected=order.after_orders,
                     result=type(state.order).__name__,
                     reason=getattr(state.order, "reason", None),
                 )
@@ -292,8 +291,8 @@
             lists[rank] = held
         if len(lists) == size:
             self._in_force = local_engine.ranks_layout(lists)
-            if self._change is not None and self._change.phase is map_change.Phase.IDLE:
-                self._change.layout = self._in_force
+            if self._change is not None:
+                self._change.in_force = self._in_force
 
     async def _plan(self, change: map_change.MapChange, now_s: float) -> None:
         demand, shape, layout = self._demand, self.shape, self._in_force
