--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -8,9 +8,9 @@
 
 A rank arms only the version that it has prepared last, and versions only go up. An order to arm
 that is still on its way is therefore void once the rank has prepared a newer version. Whoever takes
-a change back makes arming void at a rank that is not armed first: from then on nobody can see all
-ranks armed and release the hold. Passes that were held once are not used again, so a release that
-comes late meets no other hold.
+a change back makes arming void at a rank that is not armed first: from then on no release that was
+given before can have seen all ranks armed. Passes that were held once are not used again, so a
+release that comes late meets no other hold.
 """
 
 from __future__ import annotations
@@ -74,8 +74,6 @@
     at_pass: int = 0
     began_s: float = 0.0
     """Monotonic time at which the phase began."""
-    _helps: bool = False
-    """Whether this process only takes back what another one has left."""
 
     def begin(self, layout: expert_layout.Layout, reports: Reports, now_s: float) -> None:
         """Begin a change.
@@ -89,22 +87,6 @@
         self.layout = layout
         self._enter(Phase.PREPARING, now_s)
 
-    def take_back(self, reports: Reports, now_s: float) -> bool:
-        """Take back what another process has left half-way.
-
-        Args:
-            reports: Fresh reports by rank.
-            now_s: Monotonic time in seconds.
-
-        Returns:
-            Whether there is anything to take back.
-        """
-        if len(reports) < self.size or reports[HOLDING_RANK].held_pass is None:
-            return False
-        self._helps = True
-        self._start_taking_back(reports, now_s)
-        return True
-
     def next_orders(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         """Decide on the next round of orders.
 
@@ -217,7 +199,7 @@
             if held is not None:
                 return self._to_holder(engine_state.Operation.GO, held)
             self.version, self.at_pass = armed[0], max(armed[1], self.at_pass)
-            self._enter(Phase.IDLE if self._helps else Phase.SWITCHING, now_s)
+            self._enter(Phase.SWITCHING, now_s)
             return {}
         if armed is not None and held is None:
             # A rank may only be disarmed while the pass that it is armed for cannot begin.
