--- a/packages/gateway/tests/test_front_process.py
+++ b/packages/gateway/tests/test_front_process.py
@@ -76,7 +76,7 @@
 
     async def ready(self, host: str) -> bool:
         try:
-            answer = await call(host, PORT + 2, b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+            answer = await call(host, PORT + 2, plain(documents.READINESS_TARGET))
         except OSError:
             return False
         return answer.status == 200
@@ -118,6 +118,10 @@
     return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
+def plain(target: str) -> bytes:
+    return f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+
 async def call(host: str, port: int, data: bytes) -> Answer:
     reader, writer = await asyncio.open_connection(host, port)
     try:
@@ -435,8 +439,7 @@
         return (await running.ask("/look/1", key="key-7")).status == 200
 
     async def directory(running: System) -> Answer:
-        data = b"GET /-/resolve?name=x HTTP/1.1\r\nHost: x\r\n\r\n"
-        return await call(running.host, PORT + 3, data)
+        return await call(running.host, PORT + 3, plain(documents.DIRECTORY_TARGET))
 
     async def names_both(running: System) -> bool:
         answer = await directory(running)
