--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -27,7 +27,8 @@
 """Share of failures from which a server gets trial requests only."""
 
 TRIAL_INTERVAL_S = 1.0
-"""Pause between trial requests to a suspect server; shorter than most releases and crashes."""
+"""Pause between trial requests to a suspect server, so that one that recovers is back within about
+a second."""
 
 NEAR_TIE = 0.5
 """Difference of load below which servers are equal, so that processes do not pick the same one."""
--- a/packages/gateway/src/gentianpaddle_gateway/channel.py
+++ b/packages/gateway/src/gentianpaddle_gateway/channel.py
@@ -10,7 +10,8 @@
 """Received and unread bytes at which reading pauses; memory of a VM counts them."""
 
 KEEP_ALIVE_IDLE_S = 5
-"""Silence after which the kernel probes a peer; half of the shortest outage that callers note."""
+"""Silence after which the kernel probes a peer. Requests have time-outs of their own; this frees
+the descriptors of callers that vanished."""
 
 UNACKNOWLEDGED_TIMEOUT_MS = 5_000
 """Time after which unacknowledged bytes end a connection whose peer has gone silent."""
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -11,8 +11,8 @@
 from gentianpaddle_platform import headers, objects
 
 CONNECT_TIMEOUT_S = 0.5
-"""VMs are at most a few ms apart; 0.5 s bears one lost opening packet nowhere, and frees the caller
-to go elsewhere before its own wait of one second ends."""
+"""VMs are a few ms apart. After 0.5 s a request can still go to another server before its caller,
+who waits one second for a front, gives up."""
 
 HEADER_LIMIT_BYTES = 32_768
 BODY_LIMIT_BYTES = 16 * 1_048_576
--- a/packages/gateway/src/gentianpaddle_gateway/http_server.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_server.py
@@ -236,8 +236,8 @@
         if sum(len(name) + len(value) + 4 for name, value in head.headers) > limits.header_bytes:
             raise _RefusedError(431)
         try:
-            # A body gets the time of a head beyond it for each limit of its size; callers send it
-            # at once, and a slower one would hold memory.
+            # The configuration names no time for bodies. Callers send them at once, and a slow one
+            # would hold memory, so a body gets as long as a head.
             async with asyncio.timeout(limits.header_timeout_s):
                 body, framed = await self._read_body(head, limits.body_bytes)
         except TimeoutError:
--- a/packages/gateway/src/gentianpaddle_gateway/local_engine.py
+++ b/packages/gateway/src/gentianpaddle_gateway/local_engine.py
@@ -120,7 +120,7 @@
             await responder.answer(404, [], b"")
 
     async def state(self, target: str, body: bytes) -> bytes:
-        """Carry out what `encode` asked for and add the engine's report.
+        """Carry out an order or read counts if the target says so, and add the engine's report.
 
         Args:
             target: One of the targets above.
