Remove what nothing reads from the view of servers

Cause: still_listed, cold_for_s and the time that a server is cold were written and never read; cold limits count requests to all servers. Change: both methods and the field are gone.

--- a/packages/core/src/gentianpaddle_core/serving/servers.py
+++ b/packages/core/src/gentianpaddle_core/serving/servers.py
@@ -39,7 +39,6 @@
 @dataclasses.dataclass(slots=True)
 class _Held:
     entry: ServerEntry
-    cold_until_s: float
     lapsed: bool = False
     replaced: bool = False
     """Whether another server was found at its address."""
@@ -93,7 +92,7 @@
         if held is not None and held.entry == entry:
             held.lapsed = False
             return
-        self._held_by_id[entry.id] = _Held(entry, now_s + entry.cold_ms / 1000.0)
+        self._held_by_id[entry.id] = _Held(entry)
 
     def remove(self, server: ids.BackendServerId, now_s: float) -> None:
         """Take the end of an entry.
@@ -147,19 +146,6 @@
             and held.entry.data_centre not in self.evacuated
         ]
 
-    def cold_for_s(self, server: ids.BackendServerId, now_s: float) -> float:
-        """Return how much longer a server is cold.
-
-        Args:
-            server: The server.
-            now_s: Monotonic time in seconds.
-
-        Returns:
-            Seconds, 0 when it is warm or unknown.
-        """
-        held = self._held_by_id.get(server)
-        return max(0.0, held.cold_until_s - now_s) if held is not None else 0.0
-
     def by_address(self) -> dict[str, list[ServerEntry]]:
         """Return the servers that are believed to exist by their address.
 
@@ -171,10 +157,6 @@
                 found.setdefault(held.entry.address, []).append(held.entry)
         return found
 
-    def still_listed(self, server: ids.BackendServerId) -> bool:
-        """Return whether a server may still be there."""
-        return server in self._held_by_id
-
     def count(self) -> int:
         """Return how many servers are believed to exist."""
         return len(self._held_by_id)
