Spread requests by what other fronts send before the next report

All 31 fronts saw the same reports and chose among the same few emptiest engines. Ruled out: uneven maps (73 tries still ended so with even maps) and too little room (58 % of the slots in use).

Change: the requests that others send within 0.2 s are estimated from the front's own rate, the level to which they would fill the emptiest engines is computed, and an engine is drawn by its distance from that level.

--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -3,6 +3,10 @@
 The load pattern this answers: engines of a group make each pass together, so the fullest one sets
 the pace of all. A request goes where the fewest run, counted from the servers' own reports and
 corrected by what this process sent since. Servers that fail what others serve get less.
+
+Reports are a little old, and all processes read the same ones. If each sent to the emptiest server,
+all would send to that one until its next report. So a request is spread over the servers that
+would fill up first if what all processes send meanwhile were placed evenly.
 """
 
 from __future__ import annotations
@@ -31,7 +35,12 @@
 a second."""
 
 NEAR_TIE = 0.5
-"""Difference of load below which servers are equal, so that processes do not pick the same one."""
+"""Requests that are spread in any case, so that processes do not all pick the same of two servers
+that are nearly equal."""
+
+UNSEEN_S = 0.2
+"""Time for which others do not see a request that a process has sent: it travels, the next report
+is up to 0.1 s away, and other data centres get that 0.03 s later."""
 
 REPORTS_LOST_S = 3.0
 """Time without any report of a service's engines after which they are used without; the processes
@@ -176,6 +185,7 @@
         room: int,
         reporting: bool,
         now_s: float,
+        unseen: float = 0.0,
     ) -> servers.ServerEntry | None:
         """Choose a server for a request.
 
@@ -186,6 +196,8 @@
             reporting: Whether these servers report their load; one that does not is not known to
                 take work, as its group may not have formed yet.
             now_s: Monotonic time in seconds.
+            unseen: Requests that other processes have sent to these servers and that no report
+                counts yet.
 
         Returns:
             The server, or None if all that may get it are full.
@@ -196,7 +208,8 @@
             if entry.id not in excluded and self._is_open(entry.id, reporting, now_s)
         ]
         sound = [entry for entry in open_servers if not self._is_suspect(entry.id, now_s)]
-        scored = []
+        scores = []
+        with_room = []
         for entry in sound or open_servers:
             load = self.load(entry.id)
             total = load.total(now_s)
@@ -205,11 +218,13 @@
             score = total * load.slowness + FAILURE_PENALTY * load.failures
             if entry.data_centre != self._data_centre:
                 score += REMOTE_PENALTY
-            scored.append((score, entry))
-        if not scored:
+            scores.append(score)
+            with_room.append(entry)
+        if not with_room:
             return None
-        limit = min(score for score, _ in scored) + NEAR_TIE
-        return self._random.choice([entry for score, entry in scored if score <= limit])
+        level = fill_level(scores, NEAR_TIE + unseen)
+        weights = [max(0.0, level - score) for score in scores]
+        return self._random.choices(with_room, weights)[0]
 
     def _is_open(self, server: ids.BackendServerId, reporting: bool, now_s: float) -> bool:
         load = self.load(server)
@@ -224,6 +239,26 @@
         return load.failures > SUSPECT_SHARE and now_s - load.tried_s < TRIAL_INTERVAL_S
 
 
+def fill_level(loads: Sequence[float], amount: float) -> float:
+    """Return the load that the emptiest servers reach when an amount is spread over them.
+
+    Args:
+        loads: Load by server, not empty.
+        amount: What is spread, above 0.
+
+    Returns:
+        The level up to which servers below it are filled.
+    """
+    filled = 0.0
+    ordered = sorted(loads)
+    for count, load in enumerate(ordered, 1):
+        filled += load
+        level = (filled + amount) / count
+        if count == len(ordered) or level <= ordered[count]:
+            return level
+    raise ValueError("no loads")
+
+
 def new_placement(data_centre: ids.DataCentreId, seed: int, now_s: float) -> Placement:
     """Create a placement without any load.
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_desk.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import random
 from collections.abc import Callable, Collection
@@ -23,6 +24,10 @@
 """Pause between looks at waiting requests when nothing else happens."""
 
 
+RATE_WINDOW_S = 1.0
+"""Time over which the rate of requests is counted; a front of a large site gets four a second."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
     """The request gets no server."""
@@ -62,6 +67,7 @@
         self._cold = cold
         self._processes = processes
         self._line: waiting.WaitingLine[_Ticket] = waiting.WaitingLine()
+        self._started_s: collections.deque[float] = collections.deque()
 
     @property
     def waiting(self) -> int:
@@ -165,13 +171,22 @@
         engine = service.engine
         room = ENGINE_ROOM if engine is not None else PLAIN_ROOM
         reporting = engine is not None and engine.experts is not None
-        chosen = self._load.choose(candidates, excluded, room, reporting, now_s)
+        unseen = self._unseen(now_s) if engine is not None else 0.0
+        chosen = self._load.choose(candidates, excluded, room, reporting, now_s, unseen)
         if chosen is None:
             return None
         self._load.started(chosen.id, now_s)
+        self._started_s.append(now_s)
         if service.cold_rate_per_s > 0.0:
             self._cold.sent(chosen.id, now_s)
         return chosen
 
+    def _unseen(self, now_s: float) -> float:
+        """Return how many requests of other fronts are on their way; all get about the same."""
+        while self._started_s and self._started_s[0] < now_s - RATE_WINDOW_S:
+            self._started_s.popleft()
+        rate_per_s = len(self._started_s) / RATE_WINDOW_S
+        return rate_per_s * (self._processes() - 1) * placement.UNSEEN_S
+
     def _refused(self, reason: str, now_s: float) -> Refused:
         return Refused(reason, self._line.retry_after_s(self._places(now_s), random.random()))
