Let quiet watches wait 20 s and read news of 0.4 s at once

Change: only the watch of the servers, which also tells whether the store is there, ends every 5 s. Keep-alive probes every second find a connection that went silent before a long watch would.

--- a/packages/gateway/src/gentianpaddle_gateway/beliefs.py
+++ b/packages/gateway/src/gentianpaddle_gateway/beliefs.py
@@ -16,7 +16,7 @@
 
 CERTAIN_FOR_S = 6.0
 """Age of the last word from the store up to which an unknown route or key is refused for good. It
-is a little more than the wait of a watch."""
+is a little more than the wait of the shortest watch."""
 
 
 class Beliefs:
@@ -33,7 +33,7 @@
                 documents.CONFIGURATION_KIND, _Configuration(self), store_address
             ),
             documents.SERVERS_KIND: store_watch.Watch(
-                documents.SERVERS_KIND, _Servers(self), store_address
+                documents.SERVERS_KIND, _Servers(self), store_address, store_watch.WATCH_WAIT_S
             ),
             documents.EVACUATIONS_KIND: store_watch.Watch(
                 documents.EVACUATIONS_KIND, _Evacuations(self), store_address
@@ -46,8 +46,8 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        heard_s = self.watches[documents.CONFIGURATION_KIND].last_answer_s
-        return heard_s is not None and now_s - heard_s < CERTAIN_FOR_S
+        heard = [watch.last_answer_s for watch in self.watches.values()]
+        return any(at_s is not None and now_s - at_s < CERTAIN_FOR_S for at_s in heard)
 
     def take_configuration(self, spec: typing.Any, source: str) -> None:
         """Put a configuration in force if it is newer.
--- a/packages/gateway/src/gentianpaddle_gateway/channel.py
+++ b/packages/gateway/src/gentianpaddle_gateway/channel.py
@@ -13,6 +13,10 @@
 """Silence after which the kernel probes a peer. Requests have time-outs of their own; this frees
 the descriptors of callers that vanished."""
 
+KEEP_ALIVE_INTERVAL_S = 1
+"""Pause between probes; a connection that went silent is found about 1 s after the time-out below,
+before a watch of the store would end by itself."""
+
 UNACKNOWLEDGED_TIMEOUT_MS = 5_000
 """Time after which unacknowledged bytes end a connection whose peer has gone silent."""
 
@@ -50,6 +54,7 @@
         connection: socket.socket = transport.get_extra_info("socket")
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
         connection.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
         )
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -17,14 +17,18 @@
 """The store answers within 4 ms when it is well; slow days multiply that by up to about 100."""
 
 WATCH_WAIT_S = 5.0
-"""Longest wait of a watch. Each call is priced; news that a dead connection holds back is noticed
-from the revisions that other processes know."""
+"""Longest wait of the watch that also tells whether the store is there: entries of servers that end
+while it is away are judged by that."""
 
-NEWS_PAUSE_S = 0.15
+QUIET_WATCH_WAIT_S = 20.0
+"""Longest wait of the other watches. Each call is priced; news that a dead connection holds back is
+noticed from the revisions that other processes know, and by keep-alive probes."""
+
+NEWS_PAUSE_S = 0.4
 """Pause after a change before the next watch, so that one call tells several; servers come and go
 in groups, and the tightest bound on news is 2 s."""
 
-RETRY_LIMITS_S = (0.15, 0.8)
+RETRY_LIMITS_S = (0.15, 1.2)
 """Pauses after failed calls, doubled from the first to the last and spread by half."""
 
 
@@ -59,10 +63,14 @@
         kind: Kind of the objects.
         follower: Whom to tell.
         address: Host and port of the store.
+        wait_s: Longest wait of a call.
     """
 
-    def __init__(self, kind: str, follower: Follower, address: str) -> None:
+    def __init__(
+        self, kind: str, follower: Follower, address: str, wait_s: float = QUIET_WATCH_WAIT_S
+    ) -> None:
         self.kind = kind
+        self._wait_s = wait_s
         self.transport = http_client.KeptTransport(address)
         self.last_answer_s: float | None = None
         """Monotonic time of the last good answer."""
@@ -89,7 +97,7 @@
             self._from = listing.revision
             self.take(listing)
             return
-        result = await self._store.watch(self.kind, self._from, WATCH_WAIT_S)
+        result = await self._store.watch(self.kind, self._from, self._wait_s)
         if isinstance(result, objects.Unavailable):
             await self._failed(result.reason)
             return
