Send heartbeats to other data centres through one front there

What is left is mostly heartbeats: 31 fronts send 250 bytes to 20 fronts elsewhere twice a second.

Change: one front of each other data centre gets a heartbeat and passes it on; it changes with each. A front that leaves still tells all others itself.

--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -87,6 +87,7 @@
         self._behind_since_s: float | None = None
         self._servers_by_address: dict[str, list[servers.ServerEntry]] = {}
         self._loads_to_pass_on: list[peers.EngineLoad] = []
+        self._turn = 0
 
     @property
     def _serving(self) -> bool:
@@ -185,6 +186,10 @@
         if loads is not None:
             self._take_loads(loads, now_s)
             return
+        relayed = peers.passed_on(data)
+        if relayed is not None:
+            self._send_near(relayed)
+            data = relayed
         heartbeat = peers.decode_heartbeat(data)
         if heartbeat is None or heartbeat.member.vm == self._member.vm:
             return
@@ -215,9 +220,16 @@
 
     def _pass_loads_on(self) -> None:
         loads, self._loads_to_pass_on = self._loads_to_pass_on, []
-        data = peers.encode_loads(peers.Loads(loads, to_pass_on=False))
-        for member in self._members.fronts(asyncio.get_running_loop().time()):
-            if self._datagrams is not None and member.data_centre == self._member.data_centre:
+        self._send_near(peers.encode_loads(peers.Loads(loads, to_pass_on=False)))
+
+    def _send_near(self, data: bytes) -> None:
+        """Send a datagram to the other fronts of this data centre."""
+        for member in self._members.others():
+            if (
+                self._datagrams is not None
+                and member.front_address is not None
+                and member.data_centre == self._member.data_centre
+            ):
                 self._datagrams.send(data, member)
 
     async def _catch_up(self, member: members.Member) -> None:
@@ -234,7 +246,7 @@
             self._send_heartbeat()
             await asyncio.sleep(members.HEARTBEAT_S)
 
-    def _send_heartbeat(self) -> None:
+    def _send_heartbeat(self, to_each: bool = False) -> None:
         if self._datagrams is None:
             return
         table = self._known.table
@@ -246,9 +258,17 @@
                 self._known.marks(),
             )
         )
-        for member in self._members.others():
-            if member.front_address is not None:
+        fronts = [member for member in self._members.others() if member.front_address is not None]
+        if to_each:
+            for member in fronts:
                 self._datagrams.send(data, member)
+            return
+        self._turn += 1
+        near, relays = peers.receivers(fronts, self._member, self._turn)
+        for member in near:
+            self._datagrams.send(data, member)
+        for member in relays:
+            self._datagrams.send(peers.to_pass_on(data), member)
 
     async def _pump(self) -> None:
         while True:
@@ -270,9 +290,9 @@
         end_s = loop.time() + self._settings.bounds.grace_s - LEAVE_MARGIN_S
         log.event(_logger, "leaving", in_progress=self._callers.in_progress)
         self._callers.closing = True
-        self._send_heartbeat()
+        self._send_heartbeat(to_each=True)
         await asyncio.sleep(0.1)
-        self._send_heartbeat()
+        self._send_heartbeat(to_each=True)
         await self._registration.leave()
         await asyncio.sleep(LEAVE_LISTENING_S)
         self._callers.stop_listening()
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -37,6 +37,8 @@
 _RELAYED_LOAD_MARK = b"R"
 """Mark of loads that the front which gets them is to pass on in its data centre."""
 _HEARTBEAT_MARK = b"H"
+_RELAYED_HEARTBEAT_MARK = b"P"
+"""Mark of a heartbeat that the front which gets it is to pass on in its data centre."""
 
 
 class Datagrams(asyncio.DatagramProtocol):
@@ -163,15 +165,15 @@
     return Loads(loads, mark == _RELAYED_LOAD_MARK)
 
 
-def load_receivers(
+def receivers(
     fronts: list[members.Member], own: members.Member, turn: int
 ) -> tuple[list[members.Member], list[members.Member]]:
-    """Choose whom an engine's load is sent to.
+    """Choose which fronts a datagram for all fronts is sent to.
 
     Args:
         fronts: Registered fronts.
-        own: VM of the engine.
-        turn: Number of the report; the relay changes with each, as it may be dead.
+        own: VM that sends it.
+        turn: Number of the datagram; the relay changes with each, as it may be dead.
 
     Returns:
         Fronts that get it for themselves, and one front of each other data centre, which passes it
@@ -205,7 +207,7 @@
         heartbeat: The heartbeat.
 
     Returns:
-        The datagram.
+        The datagram for a front; `to_pass_on` makes it one for a relay.
     """
     member = heartbeat.member
     fields = [
@@ -218,6 +220,29 @@
     return _HEARTBEAT_MARK + json.dumps(fields, separators=(",", ":")).encode()
 
 
+def to_pass_on(heartbeat: bytes) -> bytes:
+    """Return the datagram that carries an encoded heartbeat to a relay.
+
+    Args:
+        heartbeat: What `encode_heartbeat` returned.
+    """
+    return _RELAYED_HEARTBEAT_MARK + heartbeat[1:]
+
+
+def passed_on(data: bytes) -> bytes | None:
+    """Return the heartbeat that the receiver of a datagram is to pass on.
+
+    Args:
+        data: A datagram.
+
+    Returns:
+        The datagram for the other fronts of the receiver's data centre, or None.
+    """
+    if not data.startswith(_RELAYED_HEARTBEAT_MARK):
+        return None
+    return _HEARTBEAT_MARK + data[1:]
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat | None:
     """Decode a heartbeat.
 
--- a/packages/gateway/src/gentianpaddle_gateway/side.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side.py
@@ -152,7 +152,7 @@
         self._sent, self._sent_s = load, now_s
         self._turn += 1
         fronts = [member for member in self._members.others() if member.front_address is not None]
-        near, relays = peers.load_receivers(fronts, self._members.own, self._turn)
+        near, relays = peers.receivers(fronts, self._members.own, self._turn)
         for receivers, to_pass_on in ((near, False), (relays, True)):
             data = peers.encode_loads(peers.Loads([load], to_pass_on))
             for member in receivers:
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -24,7 +24,7 @@
 """Longest wait of the other watches. Each call is priced; news that a dead connection holds back is
 noticed from the revisions that other processes know, and by keep-alive probes."""
 
-NEWS_PAUSE_S = 0.4
+NEWS_PAUSE_S = 0.6
 """Pause after a change before the next watch, so that one call tells several; servers come and go
 in groups, and the tightest bound on news is 2 s."""
 
