--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source)/src))
 STAMP := $(VENV)/.installed
 
-.PHONY: venv format lint test bench timing capacity soak demo generate
+.PHONY: venv format lint test bench timing capacity soak fault-soak demo generate
 
 venv: $(STAMP)
 
@@ -24,7 +24,7 @@
 lint: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy $(foreach source,$(SOURCES),$(source)/src) benchmarks
+	$(BIN)/mypy $(foreach source,$(SOURCES),$(source)/src) benchmarks fault_soak
 
 test: venv
 	$(BIN)/pytest -q
@@ -35,6 +35,9 @@
 soak: venv
 	HYPOTHESIS_PROFILE=soak $(BIN)/pytest -q -m "not slow" packages
 
+fault-soak: venv
+	$(BIN)/python -m fault_soak --seeds $(or $(SEEDS),10)
+
 timing: venv
 	$(BIN)/pytest -q benchmarks/timing --benchmark-enable --benchmark-columns=median,iqr,rounds
 
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -100,6 +100,7 @@
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         log.event(_logger, "start", store=self._settings.store_address)
+        self._reload()
         await self._listen()
         work = [
             *(watch.run() for watch in self._known.watches.values()),
--- a/packages/gateway/tests/test_front_process.py
+++ b/packages/gateway/tests/test_front_process.py
@@ -391,6 +391,38 @@
     asyncio.run(play())
 
 
+def test_a_starting_front_survives_a_change_of_settings(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that ends because its settings change while it starts."""
+
+    async def play() -> None:
+        running = System(tmp_path, "127.0.0.2")
+        await running.store.http.listen()
+        running.store.put("config", "main", documents.configuration(1))
+        file = tmp_path / "settings.fifo"
+        os.mkfifo(file)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "start.py"),
+            env={**os.environ, settings.PATH_VARIABLE: str(file)},
+        )
+        running.processes.append(process)
+        text = documents.settings_text("front", running.host, PORT, running.store.http.address)
+        # Opening the pipe returns when the process opens its settings, so it has not started yet.
+        pipe = await asyncio.to_thread(file.open, "w")
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        file.unlink()
+        file.write_text(text)
+        pipe.write(text)
+        pipe.close()
+        try:
+            await running.until(lambda: running.ready(running.host))
+        finally:
+            await running.stop()
+
+    asyncio.run(play())
+
+
 def test_a_stopping_front_finishes_its_requests(tmp_path: pathlib.Path) -> None:
     """Guards against requests that are cut by a planned stop."""
 
