Drop servers that left as the store returned before they end

Change: a lapsed entry is kept for 0.25 s less than the time that a leaving server goes on serving, at most 2.2 s.

The new test with 2 s fails without the change.

--- a/packages/core/src/gentianpaddle_core/serving/servers.py
+++ b/packages/core/src/gentianpaddle_core/serving/servers.py
@@ -16,6 +16,10 @@
 REGISTRATION_GRACE_S = 2.2
 """Live servers are back in the directory within about 2 s of its return; 0.2 s for the news."""
 
+LEAVING_MARGIN_S = 0.25
+"""Part of the time that a leaving server goes on serving which is left for requests on their way. A
+server may leave just as the directory returns, and its removal looks like a lapse then."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEntry:
@@ -50,10 +54,19 @@
     def __init__(self) -> None:
         self._held_by_id: dict[ids.BackendServerId, _Held] = {}
         self._available = False
+        self._grace_s = REGISTRATION_GRACE_S
         self._grace_until_s = 0.0
         self.evacuated: frozenset[ids.DataCentreId] = frozenset()
         """Data centres whose servers get nothing."""
 
+    def set_leaving_time(self, leaving_s: float) -> None:
+        """Take the time for which a leaving server goes on serving.
+
+        Args:
+            leaving_s: Time after the directory took note that it leaves.
+        """
+        self._grace_s = min(REGISTRATION_GRACE_S, leaving_s - LEAVING_MARGIN_S)
+
     def directory_lost(self) -> None:
         """Note that the directory does not answer."""
         self._available = False
@@ -66,7 +79,7 @@
         """
         if not self._available:
             self._available = True
-            self._grace_until_s = now_s + REGISTRATION_GRACE_S
+            self._grace_until_s = now_s + self._grace_s
 
     def replace(self, entries: Iterable[ServerEntry], now_s: float) -> None:
         """Take a complete list.
--- a/packages/core/tests/test_serving_decisions.py
+++ b/packages/core/tests/test_serving_decisions.py
@@ -161,6 +161,21 @@
     assert usable(view, 20.0 + servers.REGISTRATION_GRACE_S) == ["i-1"]
 
 
+@pytest.mark.parametrize("leaving_s", [2.0, 3.0])
+def test_a_server_that_leaves_as_the_store_returns(leaving_s: float) -> None:
+    """Guards against requests to a server that left when its removal looked like a lapse."""
+    view = servers.ServerView()
+    view.set_leaving_time(leaving_s)
+    view.directory_answered(0.0)
+    view.replace([entry(1), entry(2)], 10.0)
+    view.directory_lost()
+    view.directory_answered(20.0)
+    view.remove(ids.BackendServerId("i-2"), 20.0)
+    assert usable(view, 21.5) == ["i-1", "i-2"]
+    # The request travels to the server and its news may be read 0.05 s late.
+    assert usable(view, 20.0 + leaving_s - 0.1) == ["i-1"]
+
+
 def test_fronts_that_are_silent_or_leave_are_not_named() -> None:
     """Guards against callers that are sent to a front that is dead or stopping."""
     own = members.Member(ids.VmId("f0"), ids.DataCentreId("a"), "10.0.0.1", 1, "x:1", None)
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -67,6 +67,7 @@
         )
         self._members = members.MemberView(self._member)
         self._known = beliefs.Beliefs(process_settings.store_address)
+        self._known.servers.set_leaving_time(process_settings.bounds.drain_s)
         self._load = placement.new_placement(
             process_settings.data_centre, random.getrandbits(32), time.monotonic()
         )
@@ -139,6 +140,7 @@
             return
         changed = read != self._settings
         self._forwarder.set_bounds(read.bounds)
+        self._known.servers.set_leaving_time(read.bounds.drain_s)
         log.event(_logger, "reload", changed=changed)
 
     async def _readiness(
