Raise the version of a map at most once in a change

While a map was prepared, each refusal raised the version, and every rank copied its experts again, a hundred times a second for up to 2.5 s. A rank refuses any version while it is armed or more experts are new to it than it takes, as after an order that was carried out late.

Change: one refusal raises the version, which answers a rank that had a higher one; after that the change ends at its time limit. The new test has a rank that refuses always; it fails without the change.

--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -77,6 +77,8 @@
     at_pass: int = 0
     began_s: float = 0.0
     """Monotonic time at which the phase began."""
+    raised: bool = False
+    """Whether the version was raised because a rank refused it."""
 
     def begin(self, layout: expert_layout.Layout, reports: Reports, now_s: float) -> None:
         """Begin a change.
@@ -88,6 +90,7 @@
         """
         self._draw_version(reports)
         self.layout = layout
+        self.raised = False
         self._enter(Phase.PREPARING, now_s)
 
     def next_orders(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
@@ -252,8 +255,11 @@
             order.operation is engine_state.Operation.PREPARE
             and self.phase is Phase.PREPARING
             and order.version == self.version
+            and not self.raised
         ):
-            # The rank may have had a higher version that it does not report any more.
+            # The rank may have had a higher version that it does not report any more. If it refuses
+            # for another reason, each further version would only make all others copy again.
+            self.raised = True
             self.version += VERSION_BLOCK
 
 
--- a/packages/core/tests/test_map_change.py
+++ b/packages/core/tests/test_map_change.py
@@ -178,3 +178,24 @@
     assert not group.ranks[2].carry_out(late, group.passes)
     for _ in range(20):
         group.make_pass()
+
+
+def test_a_rank_that_refuses_does_not_make_the_others_copy_without_end() -> None:
+    """Guards against a copy of the experts in each round while one rank refuses every map."""
+    ranks = [Rank(number) for number in range(RANKS)]
+    change = map_change.MapChange(1, RANKS, random.Random(1))
+    reports = {rank.number: rank.report(1) for rank in ranks}
+    change.begin((), reports, 0.0)
+    versions = set()
+    now_s = 0.0
+    while change.phase is not map_change.Phase.IDLE:
+        for number, order in change.next_orders(reports, now_s).items():
+            if number == 2:
+                change.declined(order, now_s)
+                continue
+            versions.add(order.version)
+            ranks[number].carry_out(order, 1)
+            reports[number] = ranks[number].report(1)
+        now_s += ROUND_S
+    assert len(versions) <= 2
+    assert now_s < map_change.PREPARE_LIMIT_S + 1.0
