--- a/deploy/start.py
+++ b/deploy/start.py
@@ -6,8 +6,8 @@
 import signal
 import sys
 
-# The platform may tell of changed settings before a role listens for the signal, which would end
-# the process. The role reads its settings again when it does.
+# A change of the settings may be signalled before a role handles the signal, which would end the
+# process. A front reads its settings again once it does.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
