Decode malformed documents without an error that ends the process

Cause: the decoders caught some errors only. A number such as 1e999 in an entry of the store raised OverflowError in the watch task, whose failure ends the front; it read the same entry after its restart. Deeply nested JSON did the same, an address that is no IPv4 address or a port above 65535 in a heartbeat closed the datagram socket for good, and a page of a listing whose last object could not be decoded made the servers after it seem gone.

Change: one list of errors and one set of checked conversions (platform/decoding.py) for all decoders of the platform and of the messages between our processes.

The fixture of test_side_calls had a front at the host 'x', which the platform never has; it is an IPv4 address now, all its checks are the same.

--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -17,7 +17,7 @@
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import members
 from gentianpaddle_gateway import log
-from gentianpaddle_platform import documents, objects
+from gentianpaddle_platform import decoding, documents, objects
 
 _logger = logging.getLogger("gentianpaddle.peers")
 
@@ -271,13 +271,13 @@
     if not data.startswith(_HEARTBEAT_TYPE):
         return None
     try:
-        vm, spec, serving, version, revisions = json.loads(data[1:])
+        vm, spec, serving, version, revisions = decoding.load_json(data[1:])
         member = documents.decode_member(vm, spec)
         if member is None:
             return None
         revision_pairs = [(int(revision), int(checksum)) for revision, checksum in revisions]
         return Heartbeat(member, bool(serving), int(version), revision_pairs)
-    except (ValueError, TypeError):
+    except decoding.ERRORS:
         return None
 
 
--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -10,7 +10,7 @@
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import routes, servers
 from gentianpaddle_gateway import log, store_watch
-from gentianpaddle_platform import documents, objects
+from gentianpaddle_platform import decoding, documents, objects
 
 _logger = logging.getLogger("gentianpaddle.beliefs")
 
@@ -125,9 +125,9 @@
             Whether the snapshot could be decoded.
         """
         try:
-            document = json.loads(body)
+            document = decoding.load_json(body)
             listings = {kind: documents.decode_listing(item) for kind, item in document.items()}
-        except (ValueError, AttributeError):
+        except decoding.ERRORS:
             return False
         for kind, watch in self.watches.items():
             listing = listings.get(kind)
--- a/packages/gateway/src/gentianpaddle_gateway/side_calls.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_calls.py
@@ -18,7 +18,7 @@
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import engine_state, members
 from gentianpaddle_gateway import engine_client, http_client, http_server, log
-from gentianpaddle_platform import objects
+from gentianpaddle_platform import decoding, objects
 
 _logger = logging.getLogger("gentianpaddle.experts")
 
@@ -32,6 +32,9 @@
 SILENT_PAUSE_S = 2.0
 """Time for which a side process that did not answer with status 200 is not called again."""
 
+MAX_CALL_BYTES = 8 * 1_048_576
+"""Maximum size in bytes of a decompressed call or answer."""
+
 RELAY_TARGET = "/v1/relay"
 
 
@@ -99,8 +102,9 @@
         if member.vm == self._own.vm:
             return await self._engine.execute(call.target, call.body)
         body = await self._send(member, call.target, call.body, SIDE_TIMEOUT_S)
-        if body is not None:
-            return engine_client.decode_state(body)
+        state = _decode_state(body) if body is not None else None
+        if state is not None:
+            return state
         if not call.engine_fallback or member.engine_address is None:
             return engine_client.RankState(b"", engine_state.Unknown("silent"), [])
         engine = self._engine_by_address.setdefault(
@@ -179,11 +183,22 @@
             await responder.respond(404, [], b"")
 
 
+def _decode_state(body: bytes) -> engine_client.RankState | None:
+    try:
+        return engine_client.decode_state(body)
+    except decoding.ERRORS:
+        return None
+
+
 def _decompress(body: bytes) -> bytes | None:
+    if not body:
+        return b""
+    decompressor = zlib.decompressobj()
     try:
-        return zlib.decompress(body) if body else b""
+        data = decompressor.decompress(body, MAX_CALL_BYTES)
     except zlib.error:
         return None
+    return data if decompressor.eof else None
 
 
 def _with_summed_counts(states: list[engine_client.RankState]) -> list[engine_client.RankState]:
@@ -216,7 +231,7 @@
 
 def _decode_calls(body: bytes) -> list[Call] | None:
     try:
-        document = json.loads(body)
+        document = decoding.load_json(body)
         bodies = [text.encode() for text in document["bodies"]]
         return [
             Call(
@@ -227,7 +242,7 @@
             )
             for vm, data_centre, ip, port, engine, target, body_index, fallback in document["calls"]
         ]
-    except (KeyError, IndexError, TypeError, ValueError, AttributeError):
+    except decoding.ERRORS:
         return None
 
 
@@ -243,12 +258,11 @@
     if decompressed is None:
         return None
     head, _, rest = decompressed.partition(b"\n")
+    states = []
     try:
-        lengths = json.loads(head)
-    except ValueError:
+        for length in decoding.load_json(head):
+            states.append(engine_client.decode_state(rest[:length]))
+            rest = rest[length:]
+    except decoding.ERRORS:
         return None
-    states = []
-    for length in lengths:
-        states.append(engine_client.decode_state(rest[:length]))
-        rest = rest[length:]
     return states
--- a/packages/gateway/tests/test_side_calls.py
+++ b/packages/gateway/tests/test_side_calls.py
@@ -110,7 +110,9 @@
 
 def front(number: int) -> members.Member:
     data_centre = ids.DataCentreId("abc"[number % 3])
-    return members.Member(ids.VmId(f"f{number}"), data_centre, "10.0.0.9", 1, f"x:{number}", None)
+    return members.Member(
+        ids.VmId(f"f{number}"), data_centre, "10.0.0.9", 1, f"10.0.0.9:{number}", None
+    )
 
 
 def test_one_rotating_relay_per_remote_data_centre() -> None:
