--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -25,6 +25,9 @@
     reason: str
     misdirected: bool = False
     """Whether another server now uses the address."""
+    arrived: bool = True
+    """Whether the request may have arrived at the server. Only then does a retry add load and draw
+    on the shared budget."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +42,8 @@
     """The request was sent, but no complete answer arrived; it may have run."""
 
     reason: str
+    silent: bool = False
+    """Whether the attempt was given up because the server said nothing."""
 
 
 AttemptResult = NotRun | ServerFailure | Lost
@@ -105,6 +110,25 @@
 run."""
 
 
+def may_move(
+    route: routes.Route, history: AttemptHistory, remaining_s: float, usual_answer_s: float
+) -> bool:
+    """Return whether a request at a silent server may be sent to another one instead.
+
+    Args:
+        route: Route of the request.
+        history: Finished attempts of the request, without the present one.
+        remaining_s: Time left for the request, in seconds.
+        usual_answer_s: Usual time to the first event or to a plain answer, in seconds.
+    """
+    return (
+        route.repeatable
+        and history.runs + 1 < route.max_attempts
+        and history.total_attempts + 1 < MAX_TOTAL_ATTEMPTS
+        and remaining_s > max(MIN_RETRY_TIME_S, usual_answer_s)
+    )
+
+
 def next_step(
     route: routes.Route,
     history: AttemptHistory,
@@ -120,7 +144,7 @@
         result: Result of this attempt.
         remaining_s: Time left for the request, in seconds.
         budget: Takes one retry from the shared budget and returns whether it was granted; called
-            only if every other condition allows a retry.
+            only if every other condition allows a retry and the request may have arrived.
 
     Returns:
         The next step.
@@ -128,7 +152,8 @@
     may_have_run = history.runs > 0
     may_retry = not may_have_run or (route.repeatable and history.runs < route.max_attempts)
     within_limits = remaining_s > MIN_RETRY_TIME_S and history.total_attempts < MAX_TOTAL_ATTEMPTS
-    if may_retry and within_limits and budget():
+    needs_budget = not isinstance(result, NotRun) or result.arrived
+    if may_retry and within_limits and (not needs_budget or budget()):
         return Retry()
     if not may_have_run:
         return (
--- a/packages/core/src/gentianpaddle_core/serving/event_stream.py
+++ b/packages/core/src/gentianpaddle_core/serving/event_stream.py
@@ -5,10 +5,16 @@
 import dataclasses
 import re
 
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 262_144
 """Maximum size of an event. A body with a longer unterminated event is not an event stream."""
 
+MAX_UNNUMBERED_BYTES = 65_536
+"""Maximum size of all events without an id between two events with one. A body with more of them is
+not a stream of events that can be resumed or checked for gaps."""
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
+"""Matches a line that is no comment."""
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -34,7 +40,10 @@
     """
 
     def __init__(self, last_id: str | None) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
+        """Number of buffered bytes that contain no end of an event."""
+        self._unnumbered_bytes = 0
         self._last_id = last_id
 
     @property
@@ -54,32 +63,40 @@
             data: The next bytes.
 
         Returns:
-            Complete events that the caller does not have yet, in order.
+            Complete events that the caller does not have yet, in order. Comments are dropped.
 
         Raises:
-            InvalidStreamError: An event is missing, or an event exceeds `MAX_EVENT_BYTES`.
+            InvalidStreamError: An event is missing, an event exceeds `MAX_EVENT_BYTES`, or events
+                without an id exceed `MAX_UNNUMBERED_BYTES`.
         """
         self._buffer += data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(self._buffer):
-            event = self._parse_event(self._buffer[start : end.end()])
+        # The end of an event may have begun in the bytes that were searched before.
+        for end in _EVENT_END.finditer(self._buffer, max(0, self._searched_bytes - 3)):
+            event = self._parse_event(bytes(self._buffer[start : end.end()]))
             start = end.end()
             if event is not None:
                 events.append(event)
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
+        self._searched_bytes = len(self._buffer)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise InvalidStreamError(f"event not terminated within {MAX_EVENT_BYTES} bytes")
         return events
 
     def discard_partial(self) -> None:
         """Discard an incomplete event, as the next bytes come from another server."""
-        self._buffer = b""
+        self._buffer.clear()
+        self._searched_bytes = 0
 
     def _parse_event(self, data: bytes) -> Event | None:
         id_match = _EVENT_ID.search(data)
         if id_match is None:
-            return Event(data, None)
+            self._unnumbered_bytes += len(data)
+            if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
+                raise InvalidStreamError(f"no event id within {MAX_UNNUMBERED_BYTES} bytes")
+            return Event(data, None) if _EVENT_FIELD.search(data) else None
+        self._unnumbered_bytes = 0
         event_id = id_match[1].decode("latin-1")
         last_number, new_number = _event_number(self._last_id), _event_number(event_id)
         if last_number is not None and new_number is not None:
--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -54,6 +54,14 @@
 """Time for which a server that declined a request gets none. A group takes longer to form, and a
 full queue longer to drain, than a retry takes."""
 
+MAX_UNREACHABLE_BACKOFF_S = 2.0
+"""Maximum time for which a server gets no requests after connections to it have failed. The time
+starts at `DECLINE_BACKOFF_S` and doubles with each failure."""
+
+SILENT_FAILURE_RATIO = 0.7
+"""Minimum share of failures that is assumed of a server that was silent; above
+`SUSPECT_FAILURE_RATIO`, so that it gets probe requests only until it answers."""
+
 REMOTE_PENALTY_REQUESTS = 0.25
 """Number of requests added to the load of a server in another data centre, for the traffic between
 the data centres."""
@@ -81,6 +89,8 @@
     """Monotonic time in seconds at which this process last sent a request."""
     declined_until_s: float = 0.0
     """Monotonic time in seconds until which the server gets no requests."""
+    failed_connections: int = 0
+    """Number of connections in a row that could not be established."""
 
     def estimated_requests(self, now_s: float) -> int:
         """Return the estimated number of requests that the server has now.
@@ -170,8 +180,30 @@
             good: Whether the answer was complete and not an error.
         """
         load = self.load(server)
+        load.failed_connections = 0
         load.failure_ratio += FAILURE_EWMA_WEIGHT * ((0.0 if good else 1.0) - load.failure_ratio)
 
+    def record_silent(self, server: ids.BackendServerId) -> None:
+        """Record that a server accepted a request and said nothing, unlike the other servers.
+
+        Args:
+            server: The server.
+        """
+        load = self.load(server)
+        load.failure_ratio = max(load.failure_ratio, SILENT_FAILURE_RATIO)
+
+    def record_unreachable(self, server: ids.BackendServerId, now_s: float) -> None:
+        """Record that no connection to a server could be established.
+
+        Args:
+            server: The server.
+            now_s: Monotonic time in seconds.
+        """
+        load = self.load(server)
+        backoff_s = min(MAX_UNREACHABLE_BACKOFF_S, DECLINE_BACKOFF_S * 2**load.failed_connections)
+        load.failed_connections += 1
+        load.declined_until_s = now_s + backoff_s
+
     def record_declined(self, server: ids.BackendServerId, now_s: float) -> None:
         """Record that a server declined a request.
 
@@ -179,7 +211,9 @@
             server: The server.
             now_s: Monotonic time in seconds.
         """
-        self.load(server).declined_until_s = now_s + DECLINE_BACKOFF_S
+        load = self.load(server)
+        load.failed_connections = 0
+        load.declined_until_s = now_s + DECLINE_BACKOFF_S
 
     def remove_unlisted(self, listed: Collection[ids.BackendServerId]) -> None:
         """Remove servers that no longer exist and have no requests of this process.
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -6,11 +6,18 @@
 import dataclasses
 
 from gentianpaddle_core.serving import attempts, event_stream, routes, servers
-from gentianpaddle_gateway import http_client, http_server
+from gentianpaddle_gateway import http_client, http_server, silence_watch
 from gentianpaddle_platform import headers
 
-CONNECT_TIMEOUT_S = 0.5
-"""Time-out for connecting to a server; the round-trip time to a live server is a few ms."""
+CONNECT_TIMEOUT_S = 0.2
+"""Time-out for connecting to a server. The round-trip time to a live server is a few ms; a lost
+opening packet is repeated after seconds, and another server is reached before that."""
+
+ANSWER_BODY_LIMIT_BYTES = 4_194_304
+"""Maximum size of the body of a plain answer."""
+
+FAILURE_BODY_LIMIT_BYTES = 1_048_576
+"""Maximum size of the body of an error response."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +35,8 @@
     reader: event_stream.EventReader
     """Reader of the event stream; knows which events the caller has received."""
     history: attempts.AttemptHistory = dataclasses.field(default_factory=attempts.AttemptHistory)
+    retry_acquired: bool = False
+    """Whether a retry was taken from the shared budget before the last attempt was given up."""
     first_event_s: float | None = None
     """Monotonic time at which the first event or the complete answer was ready to be sent."""
 
@@ -56,7 +65,11 @@
 
 
 async def run(
-    context: RequestContext, server: servers.ServerEntry, responder: http_server.Responder
+    context: RequestContext,
+    server: servers.ServerEntry,
+    responder: http_server.Responder,
+    supervision: silence_watch.Supervision,
+    memory: http_client.BodyMemory,
 ) -> AttemptOutcome:
     """Send a request to a server and forward a successful answer to the caller.
 
@@ -64,6 +77,8 @@
         context: State of the request.
         server: Server to which it is sent.
         responder: Sends the response to the caller.
+        supervision: Decides when a server that says nothing is given up.
+        memory: Limit on the bodies that this process reads at the same time.
 
     Returns:
         Outcome of the attempt.
@@ -75,17 +90,19 @@
         server.address, min(CONNECT_TIMEOUT_S, remaining_s)
     )
     if connection is None:
-        return attempts.NotRun("no connection")
+        return attempts.NotRun("no connection", arrived=False)
+    watch = silence_watch.SilenceWatch(context.route, server.id, supervision, connection)
     try:
         async with asyncio.timeout(context.remaining_s()):
-            return await _forward(context, server, connection, responder)
+            return await _forward(context, server, connection, responder, watch, memory)
     except http_client.IncompleteResponseError as error:
-        return attempts.Lost(str(error))
+        return attempts.Lost("silent" if watch.silent else str(error), silent=watch.silent)
     except event_stream.InvalidStreamError as error:
         return attempts.Lost(str(error))
     except TimeoutError:
         return attempts.Lost("no answer in time")
     finally:
+        watch.stop()
         connection.close()
 
 
@@ -94,6 +111,8 @@
     server: servers.ServerEntry,
     connection: http_client.ClientConnection,
     responder: http_server.Responder,
+    watch: silence_watch.SilenceWatch,
+    memory: http_client.BodyMemory,
 ) -> AttemptOutcome:
     request = context.request
     fields = headers.encode_request(
@@ -104,6 +123,7 @@
         context.reader.last_id,
         len(request.body) if request.has_body else None,
     )
+    watch.start()
     await connection.send(request.method, request.target, fields, request.body or None)
     response = await connection.read_head()
     if response.status in (421, 429, 503) and _proves_not_run(response):
@@ -117,11 +137,12 @@
     if headers.first_value(response.headers, b"content-encoding") is not None:
         return attempts.Lost("encoded body is not supported")
     if not 200 <= response.status < 300:
-        body = await connection.read_body()
+        body = await connection.read_body(FAILURE_BODY_LIMIT_BYTES, memory)
         return FailureResponse(attempts.ServerFailure(response.status), response, body)
     if context.route.kind is routes.RouteKind.STREAMING:
-        return await _relay_events(context, response, connection, responder)
-    body = await connection.read_body()
+        return await _relay_events(context, response, connection, responder, watch)
+    body = await connection.read_body(ANSWER_BODY_LIMIT_BYTES, memory)
+    watch.record_events()
     context.first_event_s = asyncio.get_running_loop().time()
     await responder.respond(response.status, headers.end_to_end_headers(response.headers), body)
     return Served(response.status)
@@ -138,16 +159,19 @@
     response: http_client.ResponseHead,
     connection: http_client.ClientConnection,
     responder: http_server.Responder,
+    watch: silence_watch.SilenceWatch,
 ) -> AttemptOutcome:
     context.reader.discard_partial()
     while (part := await connection.read_body_part()) is not None:
         events = context.reader.feed(part)
         if not events:
             continue
+        watch.record_events()
         if not responder.started:
             context.first_event_s = asyncio.get_running_loop().time()
             await responder.start(response.status, headers.end_to_end_headers(response.headers))
         await responder.write(b"".join(event.data for event in events))
+        watch.caller_has_received()
     if context.reader.partial:
         return attempts.Lost("the stream ended within an event")
     if not responder.started:
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Collection
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
@@ -15,14 +16,17 @@
     rates,
     routes,
     servers,
+    silence,
 )
 from gentianpaddle_gateway import (
     attempt,
+    http_client,
     http_server,
     log,
     metrics,
     platform_state,
     service_queue,
+    silence_watch,
 )
 from gentianpaddle_platform import headers, settings
 
@@ -32,6 +36,9 @@
 """Time after which a caller should retry at a front whose state is missing or outdated. Updates
 normally arrive in a fraction of this time."""
 
+BODY_MEMORY_BYTES = 32 * 1_048_576
+"""Maximum size of all bodies of servers that a front holds in memory at the same time."""
+
 DEFAULT_TIMEOUT_S = 30.0
 """Time-out of a request without a deadline."""
 
@@ -67,6 +74,8 @@
         )
         self._queue_by_service: dict[routes.ServiceName, service_queue.ServiceQueue] = {}
         self._budget_by_service: dict[routes.ServiceName, rates.RetryBudget] = {}
+        self._body_memory = http_client.BodyMemory(BODY_MEMORY_BYTES)
+        self._progress_by_service: dict[routes.ServiceName, silence.ServiceProgress] = {}
 
     def limits(self) -> routes.ClientLimits:
         """Return the limits for callers that are in force."""
@@ -162,7 +171,13 @@
             attempt_started_s = asyncio.get_running_loop().time()
             outcome: attempt.AttemptOutcome | None = None
             try:
-                outcome = await attempt.run(context, chosen, responder)
+                outcome = await attempt.run(
+                    context,
+                    chosen,
+                    responder,
+                    self._supervision(context, chosen, excluded),
+                    self._body_memory,
+                )
             finally:
                 duration_s = asyncio.get_running_loop().time() - attempt_started_s
                 served = isinstance(outcome, attempt.Served)
@@ -181,6 +196,33 @@
                 await self._send_failure(context, responder, step, outcome)
                 return
 
+    def _supervision(
+        self,
+        context: attempt.RequestContext,
+        server: servers.ServerEntry,
+        excluded: Collection[ids.BackendServerId],
+    ) -> silence_watch.Supervision:
+        """Return what decides whether a silent server is given up for another one."""
+        progress = self._progress_by_service.setdefault(
+            context.service.name, silence.ServiceProgress()
+        )
+
+        def may_move() -> bool:
+            now_s = asyncio.get_running_loop().time()
+            context.retry_acquired = (
+                attempts.may_move(
+                    context.route,
+                    context.history,
+                    context.remaining_s(),
+                    progress.first_answer_s,
+                )
+                and self._queue(context.service.name).has_alternative([*excluded, server.id], now_s)
+                and self._budget(context.service.name).try_acquire(self._front_count(), now_s)
+            )
+            return context.retry_acquired
+
+        return silence_watch.Supervision(progress, may_move)
+
     async def _next_step(
         self, context: attempt.RequestContext, result: attempts.AttemptResult
     ) -> attempts.NextStep:
@@ -193,8 +235,11 @@
                 context.history,
                 result,
                 context.remaining_s(),
-                lambda: budget.try_acquire(self._front_count(), loop.time()),
+                lambda: (
+                    context.retry_acquired or budget.try_acquire(self._front_count(), loop.time())
+                ),
             )
+            context.retry_acquired = False
             if not isinstance(step, attempts.WaitForBudget):
                 return step
             await asyncio.sleep(attempts.BUDGET_POLL_INTERVAL_S)
@@ -211,11 +256,15 @@
             return
         result = outcome.result if isinstance(outcome, attempt.FailureResponse) else outcome
         if not isinstance(result, attempts.NotRun):
+            if isinstance(result, attempts.Lost) and result.silent:
+                self._server_load.record_silent(server.id)
             self._server_load.record_result(server.id, good=False)
         elif result.misdirected:
             self._state.servers.mark_replaced(server.id)
-        else:
+        elif result.arrived:
             self._server_load.record_declined(server.id, asyncio.get_running_loop().time())
+        else:
+            self._server_load.record_unreachable(server.id, asyncio.get_running_loop().time())
         log.event(
             _logger,
             "attempt_failed",
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -21,6 +21,43 @@
 BODY_LIMIT_BYTES = 16 * 1_048_576
 """Maximum size of a response body held in memory. Pages of the store are about 1 MB."""
 
+EVENTS_BETWEEN_YIELDS = 64
+"""Number of parts of a response after which other requests get their turn. A server can send very
+small parts without end."""
+
+MAX_INFORMATIONAL_RESPONSES = 8
+"""Maximum number of informational (1xx) responses before the final one."""
+
+
+class BodyMemory:
+    """Limits the memory of all response bodies that a process reads at the same time.
+
+    Args:
+        limit_bytes: Maximum size of these bodies together.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._free_bytes = limit_bytes
+
+    def try_acquire(self, size_bytes: int) -> bool:
+        """Reserve memory and return whether there was enough.
+
+        Args:
+            size_bytes: Number of bytes to reserve.
+        """
+        if size_bytes > self._free_bytes:
+            return False
+        self._free_bytes -= size_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Return reserved memory.
+
+        Args:
+            size_bytes: Number of bytes that are no longer used.
+        """
+        self._free_bytes += size_bytes
+
 
 class IncompleteResponseError(Exception):
     """No complete response was received. The server may have processed the request."""
@@ -39,6 +76,8 @@
 
     def __init__(self, byte_channel: channel.Channel) -> None:
         self.channel = byte_channel
+        self._closed = False
+        self._events_since_yield = 0
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
 
     @property
@@ -82,14 +121,16 @@
             Head of the final response; informational (1xx) responses are skipped.
 
         Raises:
-            IncompleteResponseError: The connection ended or the response is malformed.
+            IncompleteResponseError: The connection ended, the response is malformed, or there are
+                more than `MAX_INFORMATIONAL_RESPONSES` informational responses.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise IncompleteResponseError("no HTTP response received")
+        raise IncompleteResponseError("too many informational responses")
 
     async def read_body_part(self) -> bytes | None:
         """Wait for the next part of the response body.
@@ -109,27 +150,48 @@
             return None
         raise IncompleteResponseError("the connection ended within the body")
 
-    async def read_body(self) -> bytes:
+    async def read_body(
+        self, limit_bytes: int = BODY_LIMIT_BYTES, memory: BodyMemory | None = None
+    ) -> bytes:
         """Read the response body to its end.
 
+        Args:
+            limit_bytes: Maximum size of the body.
+            memory: Limit on this body and the others that are read at the same time, or None.
+
         Returns:
             Complete body.
 
         Raises:
-            IncompleteResponseError: The connection ended before the end of the body, or the body is
-                larger than `BODY_LIMIT_BYTES`.
+            IncompleteResponseError: The connection ended before the end of the body, the body is
+                too large, or there is no memory for it.
         """
         parts: list[bytes] = []
         size = 0
-        while (part := await self.read_body_part()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > BODY_LIMIT_BYTES:
-                raise IncompleteResponseError("the body is too large")
-        return b"".join(parts)
+        reserved = 0
+        try:
+            while (part := await self.read_body_part()) is not None:
+                parts.append(part)
+                size += len(part)
+                if size > limit_bytes:
+                    raise IncompleteResponseError("the body is too large")
+                if memory is not None:
+                    if not memory.try_acquire(len(part)):
+                        raise IncompleteResponseError("no memory for the body")
+                    reserved += len(part)
+            return b"".join(parts)
+        finally:
+            if memory is not None:
+                memory.release(reserved)
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]:
+        self._events_since_yield += 1
+        if self._events_since_yield == EVENTS_BETWEEN_YIELDS:
+            self._events_since_yield = 0
+            await asyncio.sleep(0)
         while True:
+            if self._closed:
+                raise IncompleteResponseError("closed by this process")
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -143,6 +205,7 @@
 
     def close(self) -> None:
         """Abort the connection. A server cancels a request whose connection is closed."""
+        self._closed = True
         self.channel.abort()
 
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -166,8 +166,29 @@
             else:
                 first.item.assigned_server.set_result(chosen)
 
+    def has_alternative(self, excluded: Collection[ids.BackendServerId], now_s: float) -> bool:
+        """Return whether a server other than the excluded ones can take a request now.
+
+        Args:
+            excluded: Servers that ran or may have run the request.
+            now_s: Monotonic time in seconds.
+        """
+        return not self._queue and self._find_server(excluded, now_s) is not None
+
     def _choose_server(
         self, excluded: Collection[ids.BackendServerId], now_s: float
+    ) -> servers.ServerEntry | None:
+        chosen = self._find_server(excluded, now_s)
+        if chosen is None:
+            return None
+        self._server_load.record_start(chosen.id, now_s)
+        self._dispatch_times_s.append(now_s)
+        if self._service().cold_rate_per_s > 0.0:
+            self._cold_limits.record_send(chosen.id, now_s)
+        return chosen
+
+    def _find_server(
+        self, excluded: Collection[ids.BackendServerId], now_s: float
     ) -> servers.ServerEntry | None:
         service = self._service()
         candidates = self._server_view.usable(service.name, now_s)
@@ -182,16 +203,9 @@
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
         reports_load = engine is not None and engine.experts is not None
         unreported = self._unreported_requests(now_s) if engine is not None else 0.0
-        chosen = self._server_load.choose(
+        return self._server_load.choose(
             candidates, excluded, queue_limit, reports_load, now_s, unreported
         )
-        if chosen is None:
-            return None
-        self._server_load.record_start(chosen.id, now_s)
-        self._dispatch_times_s.append(now_s)
-        if service.cold_rate_per_s > 0.0:
-            self._cold_limits.record_send(chosen.id, now_s)
-        return chosen
 
     def _unreported_requests(self, now_s: float) -> float:
         """Estimate the number of requests of other fronts that no server report includes yet.
--- a/packages/gateway/tests/test_front_process.py
+++ b/packages/gateway/tests/test_front_process.py
@@ -3,171 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import dataclasses
 import json
 import os
 import pathlib
 import signal
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
-from gentianpaddle_platform_standins import documents, replica, store
+from gentianpaddle_platform_standins import documents, front_system, replica
 
 from gentianpaddle_core.serving import servers
 from gentianpaddle_platform import headers, settings
 
-ROOT = pathlib.Path(__file__).resolve().parents[3]
-PORT = 21_300
-START_LIMIT_S = 10.0
-
-
-@dataclasses.dataclass
-class Answer:
-    """Response that a caller received."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    complete: bool
-
-
-class System:
-    """One or more front processes, with stand-ins for the store and two backend servers."""
-
-    def __init__(self, directory: pathlib.Path, host: str) -> None:
-        self.directory = directory
-        self.store = store.StoreStandin()
-        self.replicas = [replica.ReplicaStandin(f"i-{number}") for number in (1, 2)]
-        self.host = host
-        self.processes: list[asyncio.subprocess.Process] = []
-
-    async def start(self, configured: bool = True) -> None:
-        await self.store.http.listen()
-        await self.store.second_http.listen()
-        for standin in self.replicas:
-            await standin.http.listen()
-            self.store.put("servers", standin.server, standin.entry("app", "north"))
-        if configured:
-            self.store.put("config", "main", documents.configuration(1))
-        await self.start_front(self.host)
-        if configured:
-            await self.until(lambda: self.ready(self.host))
-
-    async def start_front(self, host: str, store_address: str = "") -> asyncio.subprocess.Process:
-        file = self.directory / f"{host}.toml"
-        store_address = store_address or self.store.http.address
-        text = documents.settings_text(f"front-{host}", host, PORT, store_address)
-        file.write_text(text)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "deploy" / "start.py"),
-            env={**os.environ, settings.PATH_VARIABLE: str(file)},
-            stdout=(self.directory / f"{host}.log").open("ab"),
-        )
-        self.processes.append(process)
-        return process
-
-    async def until(self, condition: Callable[[], Awaitable[bool]]) -> None:
-        async with asyncio.timeout(START_LIMIT_S):
-            while not await condition():
-                await asyncio.sleep(0.05)
-
-    async def ready(self, host: str) -> bool:
-        try:
-            answer = await call(host, PORT + 2, plain_request(documents.READINESS_TARGET))
-        except OSError:
-            return False
-        return answer.status == 200
-
-    async def ask(
-        self, path: str, method: str = "GET", body: bytes = b"", key: str = documents.KEY
-    ) -> Answer:
-        return await call(self.host, PORT + 1, request(path, method, body, key))
-
-    def runs(self) -> list[replica.RecordedRequest]:
-        return [run for standin in self.replicas for run in standin.runs]
-
-    def logged(self, event: str) -> list[str]:
-        text = (self.directory / f"{self.host}.log").read_text()
-        return [line for line in text.splitlines() if f"event={event} " in line]
-
-    async def stop(self) -> None:
-        for process in self.processes:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-        self.store.http.close()
-        for standin in self.replicas:
-            standin.http.close()
-
-
-def request(
-    path: str, method: str = "GET", body: bytes = b"", key: str = documents.KEY, name: str = "r-1"
-) -> bytes:
-    fields = {
-        "Host": documents.HOST,
-        headers.REQUEST_ID.decode(): name,
-        headers.DEADLINE_MS.decode(): "3000",
-        "Authorization": f"Bearer {key}",
-    }
-    if method == "POST":
-        fields["Content-Length"] = str(len(body))
-    lines = "".join(f"{field}: {value}\r\n" for field, value in fields.items())
-    return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
-
-
-def plain_request(target: str) -> bytes:
-    return f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
-
-
-async def call(host: str, port: int, data: bytes) -> Answer:
-    reader, writer = await asyncio.open_connection(host, port)
-    try:
-        writer.write(data)
-        async with asyncio.timeout(8.0):
-            return await read_answer(reader)
-    finally:
-        writer.close()
-
-
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    status = int(head[0].split(" ")[1])
-    found = {}
-    for line in filter(None, head[1:]):
-        name, _, value = line.partition(":")
-        found[name.lower()] = value.strip()
-    body, complete = b"", True
-    try:
-        if found.get("transfer-encoding") == "chunked":
-            while size := int(await reader.readuntil(b"\r\n"), 16):
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readexactly(2)
-        else:
-            body = await reader.readexactly(int(found.get("content-length", "0")))
-    except (asyncio.IncompleteReadError, ConnectionError):
-        complete = False
-    return Answer(status, found, body, complete)
-
-
-@contextlib.asynccontextmanager
-async def system(
-    directory: pathlib.Path, host: str = "127.0.0.2", configured: bool = True
-) -> AsyncIterator[System]:
-    running = System(directory, host)
-    try:
-        await running.start(configured)
-        yield running
-    finally:
-        await running.stop()
-
-
-WHOLE_STREAM = b"".join(
-    b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, replica.EVENT_COUNT + 1)
-)
-
 
 @pytest.mark.parametrize(
     ("path", "method", "faults", "status", "runs"),
@@ -193,7 +40,7 @@
     ],
 )
 async def check_faults(
-    running: System, path: str, method: str, faults: list[str], status: int, runs: int
+    running: front_system.System, path: str, method: str, faults: list[str], status: int, runs: int
 ) -> None:
     for standin in running.replicas:
         standin.runs.clear()
@@ -207,7 +54,7 @@
     assert (answer.status, len(running.runs())) == (status, runs)
     assert answer.complete
     if answer.status == 200 and path.startswith("/stream"):
-        assert answer.body == WHOLE_STREAM
+        assert answer.body == front_system.WHOLE_STREAM
     if answer.status == 503:
         assert float(answer.headers["retry-after"]) >= 0.0
     for run in running.runs():
@@ -227,7 +74,7 @@
     """
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             for row in FAULT_CASES:
                 await check_faults(running, *row)
 
@@ -236,7 +83,7 @@
 
 BAD_REQUESTS = [
     (b"GET /nowhere HTTP/1.1\r\nHost: bookings.example\r\n\r\n", 404),
-    (request("/look/1", key="wrong"), 401),
+    (front_system.request("/look/1", key="wrong"), 401),
     (
         b"POST /book/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
         b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -255,9 +102,9 @@
     """Guards against request smuggling and against slow or large requests that occupy memory."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             for data, status in BAD_REQUESTS:
-                answer = await call(running.host, PORT + 1, data)
+                answer = await front_system.call(running.host, front_system.PORT + 1, data)
                 assert answer.status == status, data[:60]
             assert running.runs() == []
 
@@ -268,12 +115,12 @@
     """Guards against servers that continue to work for disconnected callers."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             for standin in running.replicas:
                 standin.response_delay_s = 1.0
             for path in ("/look/1", "/stream/1"):
-                _, writer = await asyncio.open_connection(running.host, PORT + 1)
-                writer.write(request(path, name=path))
+                _, writer = await asyncio.open_connection(running.host, front_system.PORT + 1)
+                writer.write(front_system.request(path, name=path))
                 await running.until(lambda path=path: sent(running, path))
                 writer.transport.abort()
                 await asyncio.sleep(0.3)
@@ -282,7 +129,7 @@
                 ]
                 assert path in left
 
-    async def sent(running: System, name: str) -> bool:
+    async def sent(running: front_system.System, name: str) -> bool:
         return any(run.request_id == name for run in running.runs())
 
     asyncio.run(scenario())
@@ -292,7 +139,7 @@
     """Guards against holding a failed request until its deadline if no other server is left."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             first, second = running.replicas
             # An entry removed within the grace time after the first contact with the store is kept.
             await asyncio.sleep(servers.REGISTRATION_GRACE_S)
@@ -311,7 +158,7 @@
     """Guards against requests that are answered only after the time-out of their route."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             running.store.put("config", "main", documents.configuration(2, timeout_ms=500))
             for standin in running.replicas:
                 standin.response_delay_s = 3.0
@@ -328,7 +175,7 @@
     """Guards against old routes and keys, draining servers and evacuated data centres in use."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             running.store.put("config", "main", documents.configuration(5, keys=("key-2",)))
             await asyncio.sleep(0.3)
             assert (await running.ask("/look/1")).status == 401
@@ -360,7 +207,7 @@
     """Guards against requests that fail because the store is unavailable or lost its history."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             running.store.silent = trouble == "silent"
             running.store.forced_status = 503 if trouble == "busy" else None
             if trouble == "history":
@@ -380,12 +227,12 @@
     """Guards against a front that denies requests because it has no configuration yet."""
 
     async def scenario() -> None:
-        async with system(tmp_path, configured=False) as running:
+        async with front_system.system(tmp_path, configured=False) as running:
             await running.until(lambda: answers(running))
             assert not await running.ready(running.host)
             assert (await running.ask("/look/1")).status == 503
 
-    async def answers(running: System) -> bool:
+    async def answers(running: front_system.System) -> bool:
         try:
             await running.ask("/look/1")
         except OSError:
@@ -402,18 +249,20 @@
     """
 
     async def scenario() -> None:
-        running = System(tmp_path, "127.0.0.2")
+        running = front_system.System(tmp_path, "127.0.0.2")
         await running.store.http.listen()
         running.store.put("config", "main", documents.configuration(1))
         file = tmp_path / "settings.fifo"
         os.mkfifo(file)
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(ROOT / "deploy" / "start.py"),
+            str(front_system.ROOT / "deploy" / "start.py"),
             env={**os.environ, settings.PATH_VARIABLE: str(file)},
         )
         running.processes.append(process)
-        text = documents.settings_text("front", running.host, PORT, running.store.http.address)
+        text = documents.settings_text(
+            "front", running.host, front_system.PORT, running.store.http.address
+        )
         # Opening the pipe returns when the process opens it, before it has read its settings.
         pipe = await asyncio.to_thread(file.open, "w")
         process.send_signal(signal.SIGHUP)
@@ -434,7 +283,7 @@
     """Guards against requests that are aborted by a graceful shutdown."""
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
+        async with front_system.system(tmp_path) as running:
             for standin in running.replicas:
                 standin.response_delay_s = 0.3
             stream = asyncio.create_task(running.ask("/stream/1", "POST", b"x"))
@@ -447,7 +296,7 @@
             assert late.headers["connection"] == "close"
             answer = await stream
             assert answer.complete
-            assert answer.body == WHOLE_STREAM
+            assert answer.body == front_system.WHOLE_STREAM
             assert await asyncio.wait_for(running.processes[0].wait(), 8.0) == 0
             assert running.logged("stop")
 
@@ -461,8 +310,8 @@
     """
 
     async def scenario() -> None:
-        async with system(tmp_path) as running:
-            other = System(tmp_path, "127.0.0.3")
+        async with front_system.system(tmp_path) as running:
+            other = front_system.System(tmp_path, "127.0.0.3")
             other.store, other.replicas = running.store, running.replicas
             running.processes.append(
                 await other.start_front("127.0.0.3", running.store.second_http.address)
@@ -477,13 +326,17 @@
             await running.until(lambda: accepts_key(other))
             assert other.logged("taken_from_peer")
 
-    async def accepts_key(running: System) -> bool:
+    async def accepts_key(running: front_system.System) -> bool:
         return (await running.ask("/look/1", key="key-7")).status == 200
 
-    async def read_directory(running: System) -> Answer:
-        return await call(running.host, PORT + 3, plain_request(documents.DIRECTORY_TARGET))
+    async def read_directory(running: front_system.System) -> front_system.Answer:
+        return await front_system.call(
+            running.host,
+            front_system.PORT + 3,
+            front_system.plain_request(documents.DIRECTORY_TARGET),
+        )
 
-    async def lists_both_fronts(running: System) -> bool:
+    async def lists_both_fronts(running: front_system.System) -> bool:
         answer = await read_directory(running)
         return answer.status == 200 and len(json.loads(answer.body)["addresses"]) == 2
 
