Read the counts of a sample of the ranks and call large groups through a tree of relays

Cause, from reading and from the sizes on the wire: the coordinator asked all ranks for their counts every 0.35 s, 38 of its own data centre directly and the others through relays that each asked 38 in turn. At 10 x 384 experts an answer has 3.9 KB, so one data centre sent 148 KB in a cycle over a link of 3 Mbit/s, which takes 0.4 s with a time-out of 0.5 s for the relay. After the time-out each side was called by itself. A map of 23 KB, sent to 38 sides by one VM, took longer than the time-out of a side.

Change: counts come from at most 48 ranks (rank_sample), states of all ranks are read before a change and every 2 s, answers are compressed, relays pass on more than 8 calls in parts, and the time-out of a relay follows from its depth. A report with a rank outside the group, counts or layouts of another length no longer end the side process.

--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Sequence
 
 from gentianpaddle_core.serving import (
     engine_state,
@@ -12,6 +13,7 @@
     expert_layout,
     map_change,
     members,
+    rank_sample,
     routes,
 )
 from gentianpaddle_gateway import engine_client, log, side_calls
@@ -27,6 +29,10 @@
 is changed. Copying experts makes passes 15 % longer for about 0.3 s, and the demand stays the same
 for only 3 to 4 s."""
 
+HOUSEKEEPING_INTERVAL_S = 2.0
+"""Interval between reads of the state of all ranks while no change is in progress, to find ranks
+that are armed by late orders."""
+
 STANDBY_INTERVAL_S = 0.2
 """Interval between checks whether this process is to coordinate."""
 
@@ -56,6 +62,9 @@
         self._reports: dict[int, engine_state.EngineReport] = {}
         self._change: map_change.MapChange | None = None
         self._group_and_epoch: tuple[str | None, int] = (None, 0)
+        self._slowness_by_rank: dict[int, float] = {}
+        self._all_read_s = 0.0
+        """Monotonic time of the last read of the states of all ranks."""
         self._demand: expert_demand.Demand | None = None
         self._current_layout: expert_layout.Layout | None = None
         """Layout in use, or the one to which a change in progress leads; None while not known."""
@@ -82,7 +91,7 @@
                 continue
             if self._change is None or self._group_and_epoch != (report.group, report.epoch):
                 self._start_group(report)
-            await self._run_cycle()
+            await self._run_cycle(report)
 
     def _start_group(self, report: engine_state.EngineReport) -> None:
         self._group_and_epoch = (report.group, report.epoch)
@@ -90,6 +99,7 @@
         self._current_layout = None
         self._reports = {}
         self._member_by_rank = {}
+        self._slowness_by_rank = {}
         if self.expert_shape is not None and self._demand is None:
             self._demand = expert_demand.Demand(
                 self.expert_shape.set_count, self.expert_shape.experts_per_set
@@ -103,18 +113,15 @@
             rank=report.rank,
         )
 
-    async def _run_cycle(self) -> None:
+    async def _run_cycle(self, own_report: engine_state.EngineReport) -> None:
         change = self._change
         assert change is not None
         idle = change.phase is map_change.Phase.IDLE
-        target = engine_client.COUNTS_TARGET if idle else engine_client.STATE_TARGET
-        await self._read_states(target, engine_fallback=not idle)
-        now_s = asyncio.get_running_loop().time()
-        if len(self._reports) == change.rank_count and self._current_layout is None:
-            await self._read_layout(change.rank_count)
-        if idle and self._current_layout is not None:
-            await self._plan_change(change, now_s)
-        orders = change.next_orders(self._reports, now_s)
+        if idle:
+            await self._observe(change, own_report)
+        else:
+            await self._read_all_states()
+        orders = change.next_orders(self._reports, asyncio.get_running_loop().time())
         while orders:
             await self._send_orders(change, orders)
             orders = change.next_orders(self._reports, asyncio.get_running_loop().time())
@@ -125,6 +132,23 @@
         else:
             await asyncio.sleep(ORDER_ROUND_INTERVAL_S)
 
+    async def _observe(
+        self, change: map_change.MapChange, own_report: engine_state.EngineReport
+    ) -> None:
+        """Read the demand, begin a change if it is worth it, and look for unfinished changes."""
+        now_s = asyncio.get_running_loop().time()
+        all_known = len(self._reports) == change.rank_count
+        unfinished = own_report.held_pass is not None or own_report.armed_switch is not None
+        if not all_known or unfinished or now_s - self._all_read_s > HOUSEKEEPING_INTERVAL_S:
+            await self._read_all_states()
+        if len(self._reports) < change.rank_count:
+            return
+        if self._current_layout is None:
+            await self._read_layout(change.rank_count)
+        await self._read_demand()
+        if self._current_layout is not None:
+            await self._plan_change(change)
+
     def _finish_change(self, change: map_change.MapChange) -> None:
         completed = all(r.map_version == change.version for r in self._reports.values())
         if not completed:
@@ -137,32 +161,77 @@
             at_pass=change.at_pass,
         )
 
-    async def _read_states(self, target: str, engine_fallback: bool) -> None:
-        """Read the state of all ranks, with their expert counts if `target` requests them."""
-        queried = [self._member_view.own]
-        queried += [
+    def _group_members(self) -> list[members.Member]:
+        """Return the VMs that may have an engine of the group, this one first."""
+        return [self._member_view.own] + [
             member
             for member in self._member_view.other_members()
             if member.engine_address is not None
         ]
+
+    async def _read_all_states(self) -> None:
+        """Read the state of all ranks. Those that do not answer or belong to another group lack."""
+        change = self._change
+        assert change is not None
+        queried = self._group_members()
+        # While no change is in progress, a rank that does not answer only delays the next one.
+        fallback = change.phase is not map_change.Phase.IDLE
         states = await self._calls.call_all(
-            [side_calls.Call(member, target, b"", engine_fallback) for member in queried]
+            [
+                side_calls.Call(member, engine_client.STATE_TARGET, b"", fallback)
+                for member in queried
+            ]
         )
+        self._all_read_s = asyncio.get_running_loop().time()
         self._reports = {}
+        self._record_reports(change, queried, states)
+
+    def _record_reports(
+        self,
+        change: map_change.MapChange,
+        queried: Sequence[members.Member],
+        states: Sequence[engine_client.RankState],
+    ) -> None:
         for member, state in zip(queried, states, strict=True):
             report = state.report
-            if report is None or (report.group, report.epoch) != self._group_and_epoch:
+            if (
+                report is None
+                or (report.group, report.epoch) != self._group_and_epoch
+                or not 0 <= report.rank < change.rank_count
+            ):
                 continue
             self._reports[report.rank] = report
             self._member_by_rank[report.rank] = member
-        total_counts = engine_client.sum_counts(state.counts for state in states)
-        if total_counts and self._demand is not None and self.expert_shape is not None:
-            expert_count = self.expert_shape.experts_per_set
-            rows = [
-                total_counts[start : start + expert_count]
-                for start in range(0, len(total_counts), expert_count)
+            self._slowness_by_rank[report.rank] = report.slowdown_factor
+
+    async def _read_demand(self) -> None:
+        """Read the expert counts of a sample of the ranks."""
+        candidates = [
+            member
+            for member in self._member_by_rank.values()
+            if not self._calls.is_silent(member.vm)
+        ]
+        sampled = rank_sample.choose(candidates, self._group_and_epoch[1])
+        states = await self._calls.call_all(
+            [
+                side_calls.Call(member, engine_client.COUNTS_TARGET, b"", engine_fallback=False)
+                for member in sampled
             ]
-            self._demand.add(rows, asyncio.get_running_loop().time())
+        )
+        if self._change is not None:
+            self._record_reports(self._change, sampled, states)
+        total_counts = engine_client.sum_counts(state.counts for state in states)
+        shape = self.expert_shape
+        if self._demand is None or shape is None or not total_counts:
+            return
+        if len(total_counts) != shape.set_count * shape.experts_per_set:
+            log.event(_logger, "counts_unreadable", logging.WARNING, length=len(total_counts))
+            return
+        rows = [
+            total_counts[start : start + shape.experts_per_set]
+            for start in range(0, len(total_counts), shape.experts_per_set)
+        ]
+        self._demand.add(rows, asyncio.get_running_loop().time())
 
     async def _send_orders(
         self, change: map_change.MapChange, orders: dict[int, engine_state.Order]
@@ -226,11 +295,14 @@
                 return
             layout_by_rank[rank] = rank_layout
         if len(layout_by_rank) == rank_count:
+            if len(set(map(len, layout_by_rank.values()))) != 1:
+                log.event(_logger, "layout_unreadable", logging.WARNING, reason="sets differ")
+                return
             self._current_layout = engine_client.group_layout(layout_by_rank)
             if self._change is not None:
                 self._change.current_layout = self._current_layout
 
-    async def _plan_change(self, change: map_change.MapChange, now_s: float) -> None:
+    async def _plan_change(self, change: map_change.MapChange) -> None:
         """Begin a change to an improved layout if it reduces the load enough.
 
         The reduction is that of the sum over all sets of the highest rank load, and must be at
@@ -240,11 +312,9 @@
         demand, expert_shape, layout = self._demand, self.expert_shape, self._current_layout
         if demand is None or expert_shape is None or layout is None:
             return
-        if len(self._reports) < change.rank_count or not any(map(any, demand.counts)):
-            return
-        if any(r.armed_switch or r.held_pass is not None for r in self._reports.values()):
+        if not any(map(any, demand.counts)):
             return
-        slowness = [self._reports[rank].slowdown_factor for rank in range(change.rank_count)]
+        slowness = [self._slowness_by_rank.get(rank, 1.0) for rank in range(change.rank_count)]
         new_layout = []
         # Sums over all sets.
         total_max_load_before = total_max_load_after = total_mean_demand = 0.0
@@ -266,6 +336,11 @@
             < MIN_LOAD_REDUCTION
         ):
             return
+        await self._read_all_states()
+        if len(self._reports) < change.rank_count or any(
+            report.armed_switch or report.held_pass is not None for report in self._reports.values()
+        ):
+            return
         log.event(
             _logger,
             "map_planned",
@@ -273,5 +348,5 @@
             fullest_after=total_max_load_after / total_mean_demand,
             version=change.version + 1,
         )
-        change.begin(tuple(new_layout), self._reports, now_s)
+        change.begin(tuple(new_layout), self._reports, asyncio.get_running_loop().time())
         self._current_layout = tuple(new_layout)
--- a/packages/gateway/src/gentianpaddle_gateway/side_calls.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_calls.py
@@ -1,8 +1,9 @@
 """Calls to the side processes of a group, which forward them to their engines.
 
-The side processes of another data centre are called through one of them, the relay. Otherwise each
-expert map of a group of 72 engines would saturate the coordinator's link, and traffic between data
-centres is charged.
+The calls form a tree. The side processes of another data centre are called through one of them, the
+relay, since traffic between data centres is charged. A process that has more calls to make than
+`MAX_DIRECT_CALLS` passes them on in parts to further relays, since the expert map of a large group,
+sent to each of its engines, would saturate the link of one VM.
 """
 
 from __future__ import annotations
@@ -26,8 +27,11 @@
 """Time-out of a call to a side process: twice `engine_client.ENGINE_TIMEOUT_S`, because the side
 process sends an order and then reads the report of its engine, plus a margin."""
 
-RELAY_TIMEOUT_S = 0.5
-"""Time-out of a call through a relay; includes the time-out of the relay's own calls."""
+MAX_DIRECT_CALLS = 8
+"""Maximum number of side processes that one process calls without relays."""
+
+RELAY_MARGIN_S = 0.25
+"""Time that a relay needs in addition to the time-out of its own calls."""
 
 SILENT_PAUSE_S = 2.0
 """Time for which a side process that did not answer with status 200 is not called again."""
@@ -52,6 +56,22 @@
     from another VM are charged."""
 
 
+def relay_timeout_s(calls: int) -> float:
+    """Return the time-out of a relay.
+
+    Args:
+        calls: Number of calls that the relay makes, itself or through further relays.
+    """
+    own_calls_s = (
+        SIDE_TIMEOUT_S if calls <= MAX_DIRECT_CALLS else relay_timeout_s(_part_size(calls))
+    )
+    return own_calls_s + RELAY_MARGIN_S
+
+
+def _part_size(calls: int) -> int:
+    return -(-calls // MAX_DIRECT_CALLS)
+
+
 class SideCalls:
     """Calls side processes, and serves the calls of other side processes.
 
@@ -88,12 +108,34 @@
             direct = data_centre == self._own.data_centre or len(data_centre_calls) == 1
             states = None if direct else await self._call_through_relay(data_centre_calls)
             if states is None:
-                states = await self._call_each(data_centre_calls)
+                states = await self._call_tree(data_centre_calls)
             state_by_index.update(zip(indices, states, strict=True))
 
         await asyncio.gather(*(call_data_centre(*item) for item in indices_by_data_centre.items()))
         return [state_by_index[index] for index in range(len(calls))]
 
+    def is_silent(self, vm: ids.VmId) -> bool:
+        """Return whether a side process did not answer recently and is not called for now.
+
+        Args:
+            vm: VM of the side process.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return now_s < self._skip_until_s.get(vm, now_s)
+
+    async def _call_tree(self, calls: Sequence[Call]) -> list[engine_client.RankState]:
+        """Call side processes of one data centre, through further relays if they are many."""
+        if len(calls) <= MAX_DIRECT_CALLS:
+            return await self._call_each(calls)
+        size = _part_size(len(calls))
+        parts = [calls[start : start + size] for start in range(0, len(calls), size)]
+        states_by_part = await asyncio.gather(*map(self._call_part, parts))
+        return [state for states in states_by_part for state in states]
+
+    async def _call_part(self, calls: Sequence[Call]) -> list[engine_client.RankState]:
+        states = await self._call_through_relay(calls) if len(calls) > 1 else None
+        return states if states is not None else await self._call_each(calls)
+
     async def _call_each(self, calls: Sequence[Call]) -> list[engine_client.RankState]:
         return list(await asyncio.gather(*map(self._call_one, calls)))
 
@@ -124,9 +166,10 @@
             State of each rank, in the order of the calls, or None if the relay gave no complete
             answer or none can be called now. The caller then calls each side process directly.
         """
-        now_s = asyncio.get_running_loop().time()
         candidates = [
-            call.member for call in calls if now_s >= self._skip_until_s.get(call.member.vm, now_s)
+            call.member
+            for call in calls
+            if not self.is_silent(call.member.vm) and call.member.vm != self._own.vm
         ]
         if not candidates:
             return None
@@ -134,15 +177,15 @@
         relay = next(
             (member for member in candidates if member.vm in self._responsive_vms), candidates[0]
         )
-        body = await self._send(relay, RELAY_TARGET, _encode_calls(calls), RELAY_TIMEOUT_S)
+        timeout_s = relay_timeout_s(len(calls))
+        body = await self._send(relay, RELAY_TARGET, _encode_calls(calls), timeout_s)
         states = _decode_states(body) if body is not None else None
         return states if states is not None and len(states) == len(calls) else None
 
     async def _send(
         self, member: members.Member, target: str, body: bytes, timeout_s: float
     ) -> bytes | None:
-        now_s = asyncio.get_running_loop().time()
-        if now_s < self._skip_until_s.get(member.vm, now_s):
+        if self.is_silent(member.vm):
             return None
         transport = self._transport_by_vm.get(member.vm)
         if transport is None or transport.address != f"{member.ip}:{member.port}":
@@ -154,7 +197,7 @@
             self._responsive_vms.add(member.vm)
             return answer.body
         self._responsive_vms.discard(member.vm)
-        self._skip_until_s[member.vm] = now_s + SILENT_PAUSE_S
+        self._skip_until_s[member.vm] = asyncio.get_running_loop().time() + SILENT_PAUSE_S
         reason = answer.reason if isinstance(answer, objects.Unavailable) else answer.status
         log.event(_logger, "side_silent", member=member.vm, target=target, reason=reason)
         return None
@@ -174,18 +217,21 @@
             if calls is None:
                 await responder.respond(400, [], b"")
                 return
-            states = _with_summed_counts(await self._call_each(calls))
+            states = _with_summed_counts(await self._call_tree(calls))
             await responder.respond(200, [], _encode_states(states))
         elif request.path in engine_client.TARGETS:
             state = await self._engine.execute(request.path, body)
-            await responder.respond(200, [], engine_client.encode_state(state))
+            await responder.respond(200, [], zlib.compress(engine_client.encode_state(state), 1))
         else:
             await responder.respond(404, [], b"")
 
 
 def _decode_state(body: bytes) -> engine_client.RankState | None:
+    decompressed = _decompress(body)
+    if decompressed is None:
+        return None
     try:
-        return engine_client.decode_state(body)
+        return engine_client.decode_state(decompressed)
     except decoding.ERRORS:
         return None
 
--- a/packages/gateway/tests/test_side_calls.py
+++ b/packages/gateway/tests/test_side_calls.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
+import zlib
 
 import pytest
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import engine_state, members, routes
+from gentianpaddle_core.serving import engine_state, members, rank_sample, routes
 from gentianpaddle_gateway import engine_client, http_server, side_calls
 
 PORT = 21_500
@@ -105,3 +107,90 @@
         assert len(decoded.counts) == len(counts)
         pairs = zip(decoded.counts, counts, strict=True)
         assert all(abs(a - b) <= highest / 255 for a, b in pairs)
+
+
+@pytest.mark.parametrize("silent", [set(), {1, 4}, {1, 4, 7, 10, 13, 16}, {3, 6}])
+def test_calls_to_a_large_group_form_a_tree(silent: set[int]) -> None:
+    """Guards against one link that carries the calls to a whole group, and against lost parts.
+
+    60 ranks in three data centres; some side processes do not run. No running process makes more
+    calls than `MAX_DIRECT_CALLS` in each data centre unless a relay is silent.
+    """
+
+    async def scenario() -> None:
+        running = {rank: await start_side_process(rank) for rank in range(60) if rank not in silent}
+        client = running[0][0]
+        for _ in range(2):
+            calls = [
+                side_calls.Call(member(rank), engine_client.COUNTS_TARGET, b"", True)
+                for rank in range(60)
+            ]
+            states = await client.call_all(calls)
+            ranks = [state.report.rank if state.report else None for state in states]
+            assert ranks == [None if rank in silent else rank for rank in range(60)]
+            total = engine_client.sum_counts(state.counts for state in states)
+            # Each of the two relays on the way rounds to 1/255 of the highest count.
+            expected = [sum(running), len(running) * 255]
+            tolerance = 2 * max(expected) / 255
+            assert total == pytest.approx(expected, abs=tolerance)
+        if not silent:
+            contacted = [len(side._transport_by_vm) for side, _, _ in running.values()]
+            assert max(contacted) <= side_calls.MAX_DIRECT_CALLS + 2
+        for _, _, server in running.values():
+            server.stop_listening()
+
+    asyncio.run(scenario())
+
+
+def test_relay_waits_longer_than_its_own_calls() -> None:
+    """Guards against a relay that is given up while it still waits for one silent side process."""
+    for calls in (2, 8, 38, 192, 2_000):
+        part = -(-calls // side_calls.MAX_DIRECT_CALLS)
+        below_s = (
+            side_calls.SIDE_TIMEOUT_S
+            if calls <= side_calls.MAX_DIRECT_CALLS
+            else side_calls.relay_timeout_s(part)
+        )
+        assert side_calls.relay_timeout_s(calls) > below_s
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"x", b"[1,2]\n", b'{"a":1}\n', b"[-5]\nabc", zlib.compress(b"5"), zlib.compress(b"")],
+)
+def test_malformed_answers_of_a_relay(body: bytes) -> None:
+    """Guards against an answer that ends the coordinator."""
+    decoded = side_calls._decode_states(body)
+    assert decoded is None or isinstance(decoded, list)
+    side_calls._decode_state(body)
+    side_calls._decode_state(zlib.compress(b"\n\n" + b"\xff" * 12))
+
+
+def test_answer_that_expands_without_end() -> None:
+    """Guards against a small body that fills the memory when it is decompressed."""
+    bomb = zlib.compress(b"0" * (side_calls.MAX_CALL_BYTES + 1))
+    assert side_calls._decompress(bomb) is None
+
+
+@pytest.mark.parametrize(("ranks", "data_centres"), [(16, 3), (72, 4), (192, 5), (2_000, 5)])
+def test_sample_of_ranks(ranks: int, data_centres: int) -> None:
+    """Guards against work that grows with the group, and against a data centre that is left out."""
+    group = [
+        members.Member(
+            ids.VmId(f"s{rank}"),
+            ids.DataCentreId(f"d{rank % data_centres}"),
+            "10.0.0.1",
+            1,
+            None,
+            "10.0.0.1:80",
+        )
+        for rank in range(ranks)
+    ]
+    sampled = rank_sample.choose(group, 1)
+    assert len(sampled) <= max(rank_sample.MAX_SAMPLED_RANKS, data_centres)
+    assert len({item.vm for item in sampled}) == len(sampled)
+    counts = collections.Counter(item.data_centre for item in sampled)
+    assert len(counts) == data_centres
+    assert rank_sample.choose(group[:-1], 1) == rank_sample.choose(group[:-1], 1)
+    kept = set(rank_sample.choose(group[1:], 1)) & set(sampled)
+    assert len(kept) >= len(sampled) - 1
