Close the connection to an engine whose answer does not fit the call

Cause: an engine may send an answer twice. The second copy, late, was taken for the answer of the next call on the kept connection, and every later call got the answer of the one before: a report was taken for an accepted order, and a report that was older than an order for one after it. Ruled out: connections to servers for callers' requests are new for each request; the store and our own processes do not repeat answers; bytes that are there before a call close the connection. Change: the answers of reads and of orders are told apart, and the connection is closed at the first one that does not fit. Ids on these calls were not added: no caller has sent them.

--- a/packages/gateway/src/gentianpaddle_gateway/engine_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/engine_client.py
@@ -47,7 +47,11 @@
 
 
 class EngineClient:
-    """Calls one engine, one call at a time.
+    """Calls one engine, one call at a time, over one connection.
+
+    An engine may send an answer twice. The second copy is then read as the answer of the next call,
+    and each later call gets the answer of the one before. The connection is closed as soon as an
+    answer does not fit its call, so that this ends with the next order at the latest.
 
     Args:
         address: Host and port of the engine.
@@ -68,19 +72,25 @@
         """Read the engine's report.
 
         Returns:
-            Report as JSON; empty if the engine did not answer with status 200.
+            Report as JSON; empty if the engine did not answer with a report.
         """
         answer = await self._call("GET", engines.REPORT_TARGET)
-        return answer.body if answer.status == 200 else b""
+        if answer.status == 200 and engines.decode_report(answer.body) is not None:
+            return answer.body
+        self._transport.close()
+        return b""
 
     async def read_layout(self) -> bytes:
         """Read which experts the engine holds.
 
         Returns:
-            Layout as JSON; empty if the engine did not answer with status 200.
+            Layout as JSON; empty if the engine did not answer with a layout.
         """
         answer = await self._call("GET", engines.LAYOUT_TARGET)
-        return answer.body if answer.status == 200 else b""
+        if answer.status == 200 and engines.decode_layout(answer.body) is not None:
+            return answer.body
+        self._transport.close()
+        return b""
 
     async def send_order(self, body: bytes) -> int:
         """Send an order to the engine.
@@ -89,9 +99,13 @@
             body: Encoded order.
 
         Returns:
-            HTTP status, or 0 if the engine did not answer.
+            HTTP status, or 0 if the engine did not answer the order.
         """
-        return (await self._call("POST", engines.ORDER_TARGET, body)).status
+        answer = await self._call("POST", engines.ORDER_TARGET, body)
+        if engines.is_answer_of_read(answer.body):
+            self._transport.close()
+            return 0
+        return answer.status
 
     async def read_count_increments(self) -> list[int]:
         """Read the number of tokens routed to each expert since the previous call.
@@ -103,6 +117,7 @@
         answer = await self._call("GET", engines.COUNTS_TARGET)
         decoded = engines.decode_counts(answer.body) if answer.status == 200 else None
         if decoded is None:
+            self._transport.close()
             return []
         counts = list(decoded.counts)
         previous = self._last_counts
