--- a/packages/gateway/tests/test_front_process.py
+++ b/packages/gateway/tests/test_front_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import sys
 
@@ -303,6 +304,63 @@
     asyncio.run(scenario())
 
 
+LOSS_SLACK_S = 0.2
+"""Time after its last byte within which a request that was not passed on may be lost."""
+
+
+def test_planned_stop_under_load_answers_what_was_read(tmp_path: pathlib.Path) -> None:
+    """Guards against a planned stop that cuts requests which were just read.
+
+    Callers keep their connections until the process is gone, and send their requests at any moment
+    of the stop. A request whose connection ends without an answer must not have run, and must have
+    been sent just before.
+    """
+    lost: list[str] = []
+
+    async def ask_until_stopped(running: front_system.System, caller: int) -> int:
+        rng = random.Random(caller)
+        answered = 0
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(running.host, front_system.PORT + 1)
+            except OSError:
+                return answered
+            closed = False
+            while not closed:
+                await asyncio.sleep(rng.uniform(0.0, 0.3))
+                name = f"{caller}-{answered}-{rng.random()}"
+                path = rng.choice(["/look/1", "/stream/1"])
+                started_s = asyncio.get_running_loop().time()
+                try:
+                    writer.write(front_system.request(path, name=name))
+                    answer = await front_system.read_answer(reader)
+                except (OSError, asyncio.IncompleteReadError):
+                    elapsed_s = asyncio.get_running_loop().time() - started_s
+                    ran = any(run.request_id == name for run in running.runs())
+                    if ran or elapsed_s > LOSS_SLACK_S:
+                        lost.append(f"{name} after {elapsed_s:.2f} s, ran: {ran}")
+                    break
+                if not answer.complete:
+                    lost.append(f"{name} incomplete")
+                answered += 1
+                closed = answer.headers.get("connection") == "close"
+            writer.close()
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            for standin in running.replicas:
+                standin.response_delay_s = 0.02
+            callers = [asyncio.create_task(ask_until_stopped(running, n)) for n in range(30)]
+            await asyncio.sleep(1.0)
+            running.processes[0].send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(running.processes[0].wait(), 8.0) == 0
+            answered = await asyncio.gather(*callers)
+            assert sum(answered) > 100
+            assert lost == []
+
+    asyncio.run(scenario())
+
+
 def test_front_without_store_fetches_snapshot_from_another(tmp_path: pathlib.Path) -> None:
     """Guards against a front that serves old keys while other fronts know the new ones.
 
