Distribute messages without delay at small rates, and read the VMs more often after the start

Change: the interval between reads doubles from 0.5 s to 20 s; the first message after a pause is sent on at once, others after 0.03 s at most.

--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -42,9 +42,9 @@
 """Minimum number of requests that are spread, so that processes do not all choose the same one of
 two servers with nearly equal load."""
 
-REPORT_VISIBILITY_DELAY_S = 0.2
+REPORT_VISIBILITY_DELAY_S = 0.25
 """Time until other processes see a request in a report: the request is in transit, the next report
-is up to 0.1 s away, and the report reaches other data centres 0.03 s later."""
+is up to 0.1 s away, and collectors send the report on after 0.06 s at most."""
 
 REPORT_OUTAGE_S = 3.0
 """Time without any report after which servers are used without reports. After a loss of power the
--- a/packages/core/tests/test_placement_replay.py
+++ b/packages/core/tests/test_placement_replay.py
@@ -82,7 +82,13 @@
 
 @pytest.mark.parametrize(
     ("fronts", "size", "slots", "rate_per_s"),
-    [(31, 72, 5, 134.0), (31, 72, 5, 165.0), (8, 16, 6, 40.0), (8, 16, 6, 45.0)],
+    [
+        (31, 72, 5, 134.0),
+        (31, 72, 5, 165.0),
+        (8, 16, 6, 40.0),
+        (8, 16, 6, 45.0),
+        (99, 192, 3, 195.0),
+    ],
 )
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_processes_do_not_all_choose_the_emptiest_server(
--- a/packages/gateway/src/gentianpaddle_gateway/distribution.py
+++ b/packages/gateway/src/gentianpaddle_gateway/distribution.py
@@ -18,8 +18,9 @@
 from gentianpaddle_core.serving import collectors, members
 from gentianpaddle_gateway import peers
 
-FLUSH_DELAY_S = 0.04
-"""Time for which messages are collected before they are sent on. Engines report every 0.1 s."""
+FLUSH_INTERVAL_S = 0.03
+"""Minimum interval between two times at which collected messages are sent on. A message after a
+longer pause is sent on at once, since requests are placed by the loads that it may hold."""
 
 MAX_DATAGRAM_MESSAGE_BYTES = 2_400
 """Maximum size of the messages of a datagram before compression, unless one alone is larger."""
@@ -186,6 +187,7 @@
         self._datagrams = datagrams
         self._local_messages: list[bytes] = []
         self._remote_messages: list[bytes] = []
+        self._last_flush_s = -FLUSH_INTERVAL_S
         self.flush_count = 0
         """Number of times that collected messages were sent on."""
 
@@ -211,9 +213,11 @@
 
     def _schedule_flush(self) -> None:
         if not self._local_messages:
-            asyncio.get_running_loop().call_later(FLUSH_DELAY_S, self._flush)
+            loop = asyncio.get_running_loop()
+            loop.call_at(max(loop.time(), self._last_flush_s + FLUSH_INTERVAL_S), self._flush)
 
     def _flush(self) -> None:
+        self._last_flush_s = asyncio.get_running_loop().time()
         own = self._member_view.own
         fronts = self._member_view.other_fronts()
         local_messages, self._local_messages = self._local_messages, []
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -28,7 +28,8 @@
 fronts from heartbeats, and side processes from the collectors. Each page of a read is charged."""
 
 INITIAL_MEMBERS_INTERVAL_S = 0.5
-"""Interval between these reads until this VM is registered and another VM is known."""
+"""Interval between these reads until this VM is registered and another VM is known. After that the
+interval doubles with each read: the other VMs of a system that starts register after this one."""
 
 STALE_READ_LIMIT_S = 10.0
 """Upper bound of the age of data that a stale read of the store returns."""
@@ -244,6 +245,7 @@
     async def run(self) -> None:
         """Keep this VM registered and read the registered VMs until cancelled."""
         own = self._member_view.own
+        interval_s = INITIAL_MEMBERS_INTERVAL_S
         while True:
             if self._registered_at_s is None:
                 result = await self._store.put(
@@ -259,15 +261,18 @@
             initialised = (
                 len(self._member_view.other_members()) > 0 and self._registered_at_s is not None
             )
-            await self._pause(MEMBERS_INTERVAL_S if initialised else INITIAL_MEMBERS_INTERVAL_S)
+            await self._pause(interval_s)
+            if initialised:
+                interval_s = min(2.0 * interval_s, RARE_MEMBERS_INTERVAL_S)
 
     async def _pause(self, interval_s: float) -> None:
-        """Wait for an interval, and longer while this process does not need all VMs."""
+        """Wait for an interval, or `MEMBERS_INTERVAL_S` if this process needs all VMs."""
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await asyncio.sleep(interval_s)
-        while loop.time() - started_s < RARE_MEMBERS_INTERVAL_S and not self._needs_all():
-            await asyncio.sleep(INITIAL_MEMBERS_INTERVAL_S)
+        while (elapsed_s := loop.time() - started_s) < interval_s:
+            if elapsed_s >= MEMBERS_INTERVAL_S and self._needs_all():
+                return
+            await asyncio.sleep(min(INITIAL_MEMBERS_INTERVAL_S, interval_s - elapsed_s))
 
     async def _apply_listing(self, listing: objects.Listing) -> None:
         registered = []
--- a/packages/gateway/tests/test_distribution.py
+++ b/packages/gateway/tests/test_distribution.py
@@ -15,7 +15,7 @@
 from gentianpaddle_gateway import distribution, peers
 
 LOAD = peers.EngineLoad("10.0.0.1:80", 7, True, 1.25, 5)
-SETTLE_S = 5 * distribution.FLUSH_DELAY_S
+SETTLE_S = 8 * distribution.FLUSH_INTERVAL_S
 
 
 def front_member(number: int, data_centres: int) -> members.Member:
@@ -77,12 +77,17 @@
         ip = f"10.1.{number // 250}.{number % 250}"
         own = members.Member(ids.VmId(f"s{number}"), data_centre, ip, 1, None, f"{ip}:80")
         side_nodes.append(Node(own, network))
+    chosen = [
+        member
+        for member in front_members
+        if known_collectors and collectors.is_collector(member, front_members)
+    ]
+    # Announcements expire, so they are recorded after everything that takes time.
     now_s = asyncio.get_running_loop().time()
     for node in [*nodes, *side_nodes]:
         node.view.replace(front_members, now_s)
-        for member in front_members if known_collectors else ():
-            if collectors.is_collector(member, front_members):
-                node.collectors.record(member, True, now_s)
+        for member in chosen:
+            node.collectors.record(member, True, now_s)
     return network, nodes, side_nodes
 
 
@@ -104,9 +109,10 @@
         assert all(set(node.received) == expected for node in nodes)
         assert not any(side.received for side in side_nodes)
         if known_collectors:
-            # Each flush sends one datagram to each local front and to each other data centre.
+            # Each flush sends to each local front and to one front of each other data centre.
             flushes = sum(node.distributor.flush_count for node in nodes)
-            assert network.sent <= sides + flushes * (fronts / data_centres + data_centres)
+            local_fronts = -(-fronts // data_centres)
+            assert network.sent <= sides + flushes * (local_fronts + data_centres)
             assert network.sent_between_data_centres <= flushes * (data_centres - 1)
             senders = [node for node in nodes if node.distributor.flush_count]
             assert len(senders) <= 2 * data_centres * collectors.COLLECTORS_PER_DATA_CENTRE
--- /dev/null
+++ b/packages/gateway/tests/test_registration.py
@@ -0,0 +1,93 @@
+"""Registration of VMs, and how soon the VMs of a starting system know each other."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import typing
+
+import pytest
+
+from gentianpaddle_core import ids
+from gentianpaddle_core.serving import members
+from gentianpaddle_gateway import peers
+from gentianpaddle_platform import documents, objects
+
+
+class FakeStore:
+    """Store that holds registrations and counts the listings."""
+
+    def __init__(self) -> None:
+        self.spec_by_name: dict[str, typing.Any] = {}
+        self.list_count = 0
+
+    async def put(self, kind: str, name: str, spec: typing.Any) -> objects.StoredObject:
+        self.spec_by_name[name] = json.loads(json.dumps(spec))
+        return objects.StoredObject(name, len(self.spec_by_name), spec)
+
+    async def list(self, kind: str, allow_stale: bool = False) -> objects.Listing:
+        self.list_count += 1
+        items = [objects.StoredObject(name, 1, spec) for name, spec in self.spec_by_name.items()]
+        return objects.Listing(tuple(items), 1)
+
+    async def delete(self, kind: str, name: str) -> objects.Response:
+        self.spec_by_name.pop(name, None)
+        return objects.Response(200, b"")
+
+
+def front(number: int) -> members.Member:
+    ip = f"10.0.0.{number}"
+    return members.Member(ids.VmId(f"f{number}"), ids.DataCentreId("a"), ip, 1, f"{ip}:2", None)
+
+
+async def run_scaled(
+    registration: peers.Registration, monkeypatch: pytest.MonkeyPatch, duration_s: float
+) -> None:
+    """Run a registration a hundred times as fast."""
+    for name in ("MEMBERS_INTERVAL_S", "RARE_MEMBERS_INTERVAL_S", "INITIAL_MEMBERS_INTERVAL_S"):
+        monkeypatch.setattr(peers, name, getattr(peers, name) / 100.0)
+    task = asyncio.create_task(registration.run())
+    await asyncio.sleep(duration_s / 100.0)
+    task.cancel()
+
+
+def test_vms_that_register_later_are_known_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against fronts that do not hear each other for 20 s after the start of all.
+
+    The first VM knows one other one at once; the rest registers 2 s later.
+    """
+
+    async def scenario() -> None:
+        store = FakeStore()
+        view = members.MemberView(front(0))
+        await store.put(documents.MEMBERS_KIND, "f1", documents.encode_member(front(1)))
+        registration = peers.Registration(
+            view, typing.cast("objects.ObjectStore", store), lambda: False
+        )
+        running = asyncio.create_task(run_scaled(registration, monkeypatch, 8.0))
+        await asyncio.sleep(0.02)
+        for number in range(2, 20):
+            member = front(number)
+            await store.put(documents.MEMBERS_KIND, member.vm, documents.encode_member(member))
+        await running
+        assert len(view.other_fronts()) == 19
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("needs_all", "most"), [(False, 9), (True, 30)])
+def test_listings_become_rare(monkeypatch: pytest.MonkeyPatch, needs_all: bool, most: int) -> None:
+    """Guards against a number of charged reads that grows with the time and the fleet."""
+
+    async def scenario() -> None:
+        store = FakeStore()
+        await store.put(documents.MEMBERS_KIND, "f1", documents.encode_member(front(1)))
+        registration = peers.Registration(
+            members.MemberView(front(0)),
+            typing.cast("objects.ObjectStore", store),
+            lambda: needs_all,
+        )
+        await run_scaled(registration, monkeypatch, 80.0)
+        assert store.list_count <= most
+
+    asyncio.run(scenario())
