Read the layout again after a change of a predecessor, and log the version of a planned map

Test: test_map_change covers what the coordinator reads; it passed before, as the state machine already forgot the layout there. The change of the coordinator itself has no test without processes.

--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -77,7 +77,7 @@
     rng: random.Random
     """Random source from which versions are drawn."""
     current_layout: expert_layout.Layout = ()
-    """Map in use."""
+    """Map in use; empty while not known, also after a change of a predecessor was completed."""
     phase: Phase = Phase.IDLE
     layout: expert_layout.Layout = ()
     """Map to which the group changes."""
--- a/packages/core/tests/test_map_change.py
+++ b/packages/core/tests/test_map_change.py
@@ -206,3 +206,31 @@
         now_s += ROUND_S
     assert len(versions) <= 2
     assert now_s < map_change.PREPARE_TIMEOUT_S + 1.0
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_layout_of_a_predecessor_is_not_taken_for_a_known_one(restarted: bool) -> None:
+    """Guards against changes that start from an old layout after a restart of the coordinator.
+
+    The coordinator restarts when all ranks are armed, and completes the change of its predecessor.
+    """
+    old_layout, new_layout = (((0,), (1,)),), (((1,), (0,)),)
+    group = Group(3, 0.0)
+    change = map_change.MapChange(1, RANKS, group.random, current_layout=old_layout)
+    change.begin(new_layout, group.reports(), 0.0)
+    now_s = 0.0
+    while any(rank.armed is None for rank in group.ranks):
+        now_s += ROUND_S
+        for number, order in change.next_orders(group.reports(), now_s).items():
+            group.send(number, order)
+        assert now_s < 10.0
+    if restarted:
+        change = map_change.MapChange(1, RANKS, group.random, current_layout=old_layout)
+    for _ in range(200):
+        now_s += ROUND_S
+        for number, order in change.next_orders(group.reports(), now_s).items():
+            group.send(number, order)
+        group.advance()
+    assert change.phase is map_change.Phase.IDLE
+    assert {rank.map_version for rank in group.ranks} != {0}
+    assert change.current_layout == (() if restarted else new_layout)
--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -151,7 +151,7 @@
 
     def _finish_change(self, change: map_change.MapChange) -> None:
         completed = all(r.map_version == change.version for r in self._reports.values())
-        if not completed:
+        if not completed or not change.current_layout:
             self._current_layout = None
         log.event(
             _logger,
@@ -341,12 +341,12 @@
             report.armed_switch or report.held_pass is not None for report in self._reports.values()
         ):
             return
+        change.begin(tuple(new_layout), self._reports, asyncio.get_running_loop().time())
         log.event(
             _logger,
             "map_planned",
             fullest_before=total_max_load_before / total_mean_demand,
             fullest_after=total_max_load_after / total_mean_demand,
-            version=change.version + 1,
+            version=change.version,
         )
-        change.begin(tuple(new_layout), self._reports, asyncio.get_running_loop().time())
         self._current_layout = tuple(new_layout)
