Give large prompts more time before a server counts as silent

Change: the patience for the first event grows with the size of the prompt relative to the usual one.

--- a/packages/core/src/gentianpaddle_core/serving/silence.py
+++ b/packages/core/src/gentianpaddle_core/serving/silence.py
@@ -57,6 +57,8 @@
     """Moving average of the time to the first event or to a plain answer."""
     event_gap_s: float = 0.0
     """Moving average of the time between two events of a stream."""
+    prompt_tokens: float = 0.0
+    """Moving average of the prompt size."""
     servers_by_tick: dict[int, set[ids.BackendServerId]] = dataclasses.field(default_factory=dict)
     """Servers that made progress, by interval."""
 
@@ -76,7 +78,7 @@
         while len(self.servers_by_tick) > RETAINED_TICKS:
             del self.servers_by_tick[next(iter(self.servers_by_tick))]
 
-    def record_first_answer(self, elapsed_s: float) -> None:
+    def record_first_answer(self, elapsed_s: float, prompt_tokens: int) -> None:
         """Record the time to a first event or a plain answer.
 
         The time of a request that is given up counts too. Otherwise, if all servers were slow, the
@@ -84,7 +86,9 @@
 
         Args:
             elapsed_s: Time since the request was sent, in seconds.
+            prompt_tokens: Size of its prompt; 0 if it has none.
         """
+        self.prompt_tokens += _ewma_step(self.prompt_tokens, prompt_tokens)
         self.first_answer_s += _ewma_step(self.first_answer_s, elapsed_s)
 
     def record_gap(self, gap_s: float) -> None:
@@ -116,13 +120,19 @@
     return value if average == 0.0 else EWMA_WEIGHT * (value - average)
 
 
-def patience_s(route: routes.Route, progress: ServiceProgress, started: bool) -> float:
+def patience_s(
+    route: routes.Route, progress: ServiceProgress, started: bool, prompt_tokens: int
+) -> float:
     """Return the time without progress after which a request may count as silent.
 
+    Engines process large prompts in parts between the steps of other requests, so the time until
+    the first event grows with the size of the prompt.
+
     Args:
         route: Route of the request.
         progress: Progress of the requests to the service.
         started: Whether the first event has arrived.
+        prompt_tokens: Size of its prompt; 0 if it has none.
 
     Returns:
         Time in seconds since the request was sent or the last event arrived.
@@ -135,7 +145,11 @@
         if route.kind is routes.RouteKind.STREAMING
         else PLAIN_ANSWER_TARGETS
     )
-    return max(targets * route.target_s, FIRST_ANSWER_FACTOR * progress.first_answer_s)
+    relative_size = max(
+        1.0, prompt_tokens / progress.prompt_tokens if progress.prompt_tokens else 1.0
+    )
+    usual_s = max(targets * route.target_s, FIRST_ANSWER_FACTOR * progress.first_answer_s)
+    return usual_s * relative_size
 
 
 def is_silent(
@@ -144,6 +158,7 @@
     server: ids.BackendServerId,
     last_progress_s: float,
     started: bool,
+    prompt_tokens: int,
     now_s: float,
 ) -> bool:
     """Return whether a server counts as silent for a request.
@@ -155,9 +170,10 @@
         last_progress_s: Monotonic time in seconds at which the request was sent or its last event
             arrived.
         started: Whether the first event has arrived.
+        prompt_tokens: Size of its prompt; 0 if it has none.
         now_s: Monotonic time in seconds.
     """
-    if now_s - last_progress_s < patience_s(route, progress, started):
+    if now_s - last_progress_s < patience_s(route, progress, started, prompt_tokens):
         return False
     if route.kind is not routes.RouteKind.STREAMING:
         return True
--- a/packages/core/tests/test_silence.py
+++ b/packages/core/tests/test_silence.py
@@ -61,16 +61,16 @@
 ) -> None:
     """Guards against waiting for a dead server, and against leaving a stalled or slow one."""
     progress = progress_with_events(sender, 2.0 + silent_for_s)
-    assert silent is silence.is_silent(route, progress, SERVER, 2.0, started, 2.0 + silent_for_s)
+    assert silent is silence.is_silent(route, progress, SERVER, 2.0, started, 0, 2.0 + silent_for_s)
 
 
 def test_stall_of_the_whole_group_is_no_silence() -> None:
     """Guards against moving all streams of a group that stalls for 1.5 s and then goes on."""
     progress = progress_with_events(OTHER, 2.0)
-    assert not silence.is_silent(ROUTE, progress, SERVER, 2.0, True, 3.4)
+    assert not silence.is_silent(ROUTE, progress, SERVER, 2.0, True, 0, 3.4)
     # The group goes on: the other stream's event arrives a moment before this one's.
     progress.record_progress(OTHER, 3.45)
-    assert not silence.is_silent(ROUTE, progress, SERVER, 2.0, True, 3.46)
+    assert not silence.is_silent(ROUTE, progress, SERVER, 2.0, True, 0, 3.46)
 
 
 def test_patience_follows_a_slow_service() -> None:
@@ -81,15 +81,26 @@
     rng = random.Random(7)
     progress = silence.ServiceProgress()
     for _ in range(20):
-        progress.record_first_answer(0.25)
+        progress.record_first_answer(0.25, 800)
     given_up = 0
     for _ in range(200):
-        patience_s = silence.patience_s(ROUTE, progress, False)
+        patience_s = silence.patience_s(ROUTE, progress, False, 800)
         needed_s = rng.uniform(1.5, 2.5)
         given_up += needed_s > patience_s
-        progress.record_first_answer(min(needed_s, patience_s))
+        progress.record_first_answer(min(needed_s, patience_s), 800)
     assert given_up < 60
-    assert silence.patience_s(ROUTE, progress, False) > 2.5
+    assert silence.patience_s(ROUTE, progress, False, 800) > 2.5
+
+
+@pytest.mark.parametrize(
+    ("prompt_tokens", "silent"), [(0, True), (400, True), (800, True), (3_200, False)]
+)
+def test_large_prompts_get_more_time(prompt_tokens: int, silent: bool) -> None:
+    """Guards against giving up large requests, which would be served less often than small ones."""
+    progress = progress_with_events(OTHER, 3.5)
+    for _ in range(20):
+        progress.record_first_answer(0.25, 800)
+    assert silent is silence.is_silent(ROUTE, progress, SERVER, 2.0, False, prompt_tokens, 3.5)
 
 
 def test_memory_of_progress_is_bounded() -> None:
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -93,7 +93,9 @@
     )
     if connection is None:
         return attempts.NotRun("no connection", arrived=False)
-    watch = silence_watch.SilenceWatch(context.route, server.id, supervision, connection)
+    watch = silence_watch.SilenceWatch(
+        context.route, context.head.prompt_tokens, server.id, supervision, connection
+    )
     try:
         async with asyncio.timeout(context.remaining_s()):
             return await _forward(context, server, connection, responder, watch, memory)
--- a/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
@@ -29,6 +29,7 @@
 
     Args:
         route: Route of the request.
+        prompt_tokens: Size of its prompt; 0 if it has none.
         server: Server to which the request is sent.
         supervision: Progress of the service, and whether the request may be moved.
         connection: Connection to the server.
@@ -37,11 +38,13 @@
     def __init__(
         self,
         route: routes.Route,
+        prompt_tokens: int,
         server: ids.BackendServerId,
         supervision: Supervision,
         connection: http_client.ClientConnection,
     ) -> None:
         self._route = route
+        self._prompt_tokens = prompt_tokens
         self._server = server
         self._supervision = supervision
         self._connection = connection
@@ -75,7 +78,7 @@
         if self._started:
             progress.record_gap(now_s - self._last_progress_s)
         else:
-            progress.record_first_answer(now_s - self._last_progress_s)
+            progress.record_first_answer(now_s - self._last_progress_s, self._prompt_tokens)
         self._started = True
         self._waiting_for_caller = True
 
@@ -85,7 +88,9 @@
         self._last_progress_s = self._loop.time()
 
     def _patience_s(self) -> float:
-        return silence.patience_s(self._route, self._supervision.progress, self._started)
+        return silence.patience_s(
+            self._route, self._supervision.progress, self._started, self._prompt_tokens
+        )
 
     def _schedule(self, delay_s: float) -> None:
         self._timer = self._loop.call_later(max(delay_s, RECHECK_INTERVAL_S), self._check)
@@ -97,12 +102,18 @@
         if (
             not self._waiting_for_caller
             and silence.is_silent(
-                self._route, progress, self._server, self._last_progress_s, self._started, now_s
+                self._route,
+                progress,
+                self._server,
+                self._last_progress_s,
+                self._started,
+                self._prompt_tokens,
+                now_s,
             )
             and self._supervision.may_move()
         ):
             if not self._started:
-                progress.record_first_answer(elapsed_s)
+                progress.record_first_answer(elapsed_s, self._prompt_tokens)
             self.silent = True
             self._connection.close()
             return
