--- a/packages/core/tests/test_serving_decisions.py
+++ b/packages/core/tests/test_serving_decisions.py
@@ -198,6 +198,32 @@
     assert [member.vm for member in view.live_fronts(13.0)] == ["f1"]
 
 
+def test_unreachable_server_is_tried_more_and_more_rarely() -> None:
+    """Guards against requests that each wait for a connection to a VM without power."""
+    load = placement.new_placement(ids.DataCentreId("a"), 1, 0.0)
+    server = ids.BackendServerId("i-1")
+    pauses_s = []
+    for _ in range(6):
+        load.record_unreachable(server, 10.0)
+        pauses_s.append(load.load(server).declined_until_s - 10.0)
+    assert pauses_s[0] == placement.DECLINE_BACKOFF_S
+    assert pauses_s == sorted(pauses_s)
+    assert pauses_s[-1] == placement.MAX_UNREACHABLE_BACKOFF_S
+    load.record_result(server, good=True)
+    load.record_unreachable(server, 20.0)
+    assert load.load(server).declined_until_s - 20.0 == placement.DECLINE_BACKOFF_S
+
+
+def test_silent_server_gets_probe_requests_only() -> None:
+    """Guards against further requests to a server that was silent, until it answers again."""
+    load = placement.new_placement(ids.DataCentreId("a"), 1, 0.0)
+    server = ids.BackendServerId("i-1")
+    load.record_silent(server)
+    assert load.load(server).failure_ratio > placement.SUSPECT_FAILURE_RATIO
+    load.record_result(server, good=True)
+    assert load.load(server).failure_ratio < placement.SUSPECT_FAILURE_RATIO
+
+
 def test_fronts_that_left_no_longer_share_limits() -> None:
     """Guards against limits that shrink with each front that was ever replaced."""
     views = front_views(4)
