--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -110,6 +110,9 @@
         if excluded and all(entry.id in excluded for entry in usable_servers):
             return self._refusal("no other server", now_s)
         latest_start_s = self._queue.latest_start_s(expires_at_s)
+        # After a stall of all engines the mean exceeds the target for seconds, although they need
+        # their usual time again.
+        first_answer_s = min(first_answer_s, route.target_s)
         if route.caller_patience_s is not None:
             caller_leaves_s = (last_event_s or arrived_s) + route.caller_patience_s
             latest_start_s = min(latest_start_s, caller_leaves_s - first_answer_s)
