Take back the queue with the measured allowance and the newest late request first

Callers that wait too long leave after 2 s and come again; to the front they look new, so the newest first serves them before those that wait, and the backlog of the first freeze lasted until the second.

--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -2,10 +2,8 @@
 
 Under an overload of some seconds, a first-in, first-out queue would make every answer late.
 Requests that can still meet their target therefore start first, by the latest start that meets it.
-Late requests use the remaining capacity, newest first: callers leave after a while, and with the
-oldest first, each would wait nearly that long while the backlog lasts. A fixed share of the starts
-goes to the oldest one, so that none starves. A request that cannot be served before it is given up
-is rejected at once.
+Late requests use the remaining capacity and a fixed share of the starts, oldest first, so that none
+starves. A request that cannot be served before it is given up is rejected at once.
 """
 
 from __future__ import annotations
@@ -27,37 +25,13 @@
 """Minimum time left for a request to be started, relative to the mean duration."""
 
 LATE_TURN_INTERVAL = 4
-"""While late requests wait, every n-th start goes to the oldest one."""
+"""While both late requests and requests still on time wait, every n-th start goes to a late one."""
 
 RETRY_AFTER_RANGE_S = (0.1, 2.0)
 """Minimum and maximum time in seconds after which a rejected caller is told to retry; callers
 honour at most a third of the time they have left."""
 
 
-DEFAULT_ANSWER_S = 0.2
-"""Time in seconds that a server is assumed to need until the first event, or until a plain answer,
-while no request has been served."""
-
-ANSWER_TIME_FACTOR = 1.25
-"""Factor on the usual time until an answer, as half of the answers take longer than usual."""
-
-
-def latest_timely_start_s(arrived_s: float, target_s: float, answer_s: float) -> float:
-    """Return the latest start with which a request can still meet its target.
-
-    Load pattern: after an outage all engines are full and need twice their usual time until the
-    first event. With a fixed allowance for it, requests that can no longer meet their target would
-    take the places of those that can.
-
-    Args:
-        arrived_s: Monotonic time at which the request arrived.
-        target_s: Time within which it should be answered.
-        answer_s: Time that a server needs until the first event, or until a plain answer; 0 if it
-            is not known.
-    """
-    return arrived_s + target_s - ANSWER_TIME_FACTOR * (answer_s or DEFAULT_ANSWER_S)
-
-
 @dataclasses.dataclass(slots=True)
 class QueuedRequest(typing.Generic[T]):
     """Queued request. All times are monotonic, in seconds."""
@@ -107,12 +81,11 @@
         """
         late = [entry for entry in self._entries if entry.start_by_s < now_s]
         on_time = [entry for entry in self._entries if entry.start_by_s >= now_s]
-        oldest_turn = self._started_count % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1
-        if late and oldest_turn:
+        if late and (
+            not on_time or self._started_count % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1
+        ):
             return min(late, key=lambda entry: entry.arrived_s)
-        if on_time:
-            return min(on_time, key=lambda entry: entry.start_by_s)
-        return max(late, key=lambda entry: entry.arrived_s) if late else None
+        return min(on_time, key=lambda entry: entry.start_by_s) if on_time else None
 
     def remove_started(self, waiting: QueuedRequest[T]) -> None:
         """Remove a request that is started.
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -39,8 +39,6 @@
     """Whether a retry was taken from the shared budget before the last attempt was given up."""
     first_event_s: float | None = None
     """Monotonic time at which the first event or the complete answer was ready to be sent."""
-    last_event_s: float | None = None
-    """Monotonic time at which the caller got the last event of a stream."""
 
     def remaining_s(self) -> float:
         """Return the time in seconds until the request expires; negative if it has expired."""
@@ -176,7 +174,6 @@
             await responder.start(response.status, headers.end_to_end_headers(response.headers))
         await responder.write(b"".join(event.data for event in events))
         watch.caller_has_received()
-        context.last_event_s = asyncio.get_running_loop().time()
     if context.reader.partial:
         return attempts.Lost("the stream ended within an event")
     if not responder.started:
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -163,12 +163,7 @@
         last_outcome: attempt.AttemptOutcome | None = None
         while True:
             chosen = await queue.acquire(
-                context.route,
-                excluded,
-                context.request.arrived_s,
-                context.last_event_s,
-                context.expires_at_s,
-                self._progress(service.name).first_answer_s,
+                context.route, excluded, context.request.arrived_s, context.expires_at_s
             )
             if isinstance(chosen, service_queue.Refusal):
                 await self._end_without_server(context, responder, chosen, last_outcome)
@@ -208,7 +203,9 @@
         excluded: Collection[ids.BackendServerId],
     ) -> silence_watch.Supervision:
         """Return what decides whether a silent server is given up for another one."""
-        progress = self._progress(context.service.name)
+        progress = self._progress_by_service.setdefault(
+            context.service.name, silence.ServiceProgress()
+        )
 
         def may_move() -> bool:
             now_s = asyncio.get_running_loop().time()
@@ -430,9 +427,6 @@
         found = table.service_by_name.get(name) if table is not None else None
         return found or routes.Service(name, 1, 0.0, None)
 
-    def _progress(self, service: routes.ServiceName) -> silence.ServiceProgress:
-        return self._progress_by_service.setdefault(service, silence.ServiceProgress())
-
     def _budget(self, service: routes.ServiceName) -> rates.RetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -19,6 +19,10 @@
 """Number of requests beyond its slots that are sent to a server other than an engine. Its
 processing time is a fifth of the target of its callers."""
 
+FIRST_EVENT_ALLOWANCE_S = 0.2
+"""Part of the latency target that an engine needs until the first event: about two passes and the
+processing of a prompt."""
+
 DISPATCH_INTERVAL_S = 0.05
 """Maximum interval between attempts to dispatch queued requests."""
 
@@ -81,9 +85,7 @@
         route: routes.Route,
         excluded: Collection[ids.BackendServerId],
         arrived_s: float,
-        last_event_s: float | None,
         expires_at_s: float,
-        first_answer_s: float,
     ) -> servers.ServerEntry | Refusal:
         """Wait for a server with free capacity.
 
@@ -91,11 +93,7 @@
             route: Route of the request.
             excluded: Servers that ran or may have run the request.
             arrived_s: Monotonic time at which the request arrived.
-            last_event_s: Monotonic time at which its caller got the last event; None before the
-                first one.
             expires_at_s: Monotonic time at which the request expires.
-            first_answer_s: Usual time that a server needs until the first event, or until a plain
-                answer, in seconds.
 
         Returns:
             Server whose load now includes the request, or a refusal. The caller has to call
@@ -110,12 +108,6 @@
         if excluded and all(entry.id in excluded for entry in usable_servers):
             return self._refusal("no other server", now_s)
         latest_start_s = self._queue.latest_start_s(expires_at_s)
-        # After a stall of all engines the mean exceeds the target for seconds, although they need
-        # their usual time again.
-        first_answer_s = min(first_answer_s, route.target_s)
-        if route.caller_patience_s is not None:
-            caller_leaves_s = (last_event_s or arrived_s) + route.caller_patience_s
-            latest_start_s = min(latest_start_s, caller_leaves_s - first_answer_s)
         slot_share = self._slot_share(now_s)
         if now_s + self._queue.expected_wait_s(slot_share) > latest_start_s:
             return self._refusal("no place in time" if slot_share else "no server", now_s)
@@ -124,7 +116,7 @@
             request_queue.QueuedRequest(
                 queued,
                 arrived_s,
-                request_queue.latest_timely_start_s(arrived_s, route.target_s, first_answer_s),
+                arrived_s + route.target_s - FIRST_EVENT_ALLOWANCE_S,
                 latest_start_s,
             )
         )
