Reconnect all watches of the store when one of them is found silent

What callers saw: for up to 20 s after all open connections had fallen silent without a reset, fronts served by the old configuration: routes that were moved or added, and keys that were withdrawn. Servers that drain got requests too.

Cause: a watch of the configuration ends by itself after 20.7 s, keep-alive probes act after 11 s, and all fronts are deaf at the same time, so none of them has newer knowledge to pass on. The watch of the servers ends after 5.7 s, too late as well. Class: a dependency that counts as healthy while nothing is heard from it.

Change: the servers watch waits 3 s instead of 5 s, and when it is not answered in time, the other watches reconnect. The first call after a failure does not wait, so it confirms at once.

--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -254,7 +254,7 @@
                 return objects.Response(head.status, await connection.read_body())
         except TimeoutError:
             self.close()
-            return objects.Unavailable(f"no answer within {timeout_s:.1f} s")
+            return objects.Unavailable(f"no answer within {timeout_s:.1f} s", timed_out=True)
         except IncompleteResponseError as error:
             self.close()
             return objects.Unavailable(str(error))
--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -60,6 +60,19 @@
             for answered_s in answer_times_s
         )
 
+    def reconnect_watches(self, silent_kind: str) -> None:
+        """Reconnect the watches other than one whose connection was found silent.
+
+        A fault of the network silences several connections at the same time, and the other watches
+        would notice it only at the end of their much longer calls.
+
+        Args:
+            silent_kind: Kind whose watch was silent.
+        """
+        for kind, watch in self.watches.items():
+            if kind != silent_kind:
+                watch.reconnect()
+
     def apply_configuration(self, spec: typing.Any, source: str) -> None:
         """Put a configuration in force if it is newer than the current one.
 
@@ -152,7 +165,7 @@
         if change.object.name == documents.CONFIGURATION_NAME and not change.removed:
             self._state.apply_configuration(change.object.spec, "store")
 
-    def on_store_lost(self) -> None:
+    def on_store_lost(self, timed_out: bool) -> None:
         pass
 
     def on_store_answered(self) -> None:
@@ -198,8 +211,10 @@
         )
         self._state.changed.set()
 
-    def on_store_lost(self) -> None:
+    def on_store_lost(self, timed_out: bool) -> None:
         self._server_view.store_lost()
+        if timed_out:
+            self._state.reconnect_watches(documents.SERVERS_KIND)
 
     def on_store_answered(self) -> None:
         self._server_view.store_answered(asyncio.get_running_loop().time())
@@ -225,7 +240,7 @@
             self._state.servers.evacuated = evacuated
             self._state.changed.set()
 
-    def on_store_lost(self) -> None:
+    def on_store_lost(self, timed_out: bool) -> None:
         pass
 
     def on_store_answered(self) -> None:
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -17,14 +17,19 @@
 """Time-out of a call to the store. The store normally answers within 4 ms; on slow days it can take
 up to about 100 times as long."""
 
-WATCH_WAIT_S = 5.0
+WATCH_WAIT_S = 3.0
 """Maximum wait of a call of the servers watch. This watch also tells whether the store is
 reachable, which decides how server entries that expire during an outage of the store are
-treated."""
+treated. Its connection may fall silent without a reset; the end of the call, `BATCH_PAUSE_S` and a
+new call take less than the 5 s after which a change that follows such a fault must be known."""
 
 DEFAULT_WATCH_WAIT_S = 20.0
-"""Maximum wait of a call of the other watches. Each call is charged. Changes missed because of a
-dead connection are noticed from the revisions of other processes and by keep-alive probes."""
+"""Maximum wait of a call of the other watches. Each call is charged. They are reconnected when the
+servers watch finds its connection silent."""
+
+CONFIRMATION_WAIT_S = 0.001
+"""Maximum wait of the first call of a watch after a failure. It returns at once and confirms that
+the store is reachable and that no change was missed."""
 
 BATCH_PAUSE_S = 0.6
 """Pause after a change before the next call, so that one call returns several changes. Servers
@@ -52,8 +57,12 @@
             change: New content or removal of the object.
         """
 
-    def on_store_lost(self) -> None:
-        """Handle a failed call to the store."""
+    def on_store_lost(self, timed_out: bool) -> None:
+        """Handle a failed call to the store.
+
+        Args:
+            timed_out: Whether nothing was received in time on an open connection.
+        """
 
     def on_store_answered(self) -> None:
         """Handle a successful call to the store."""
@@ -94,15 +103,16 @@
         if self._watch_revision is None:
             listing = await self._store.list(self.kind)
             if isinstance(listing, objects.Unavailable):
-                await self._handle_failure(listing.reason)
+                await self._handle_failure(listing)
                 return
             self._handle_success()
             self._watch_revision = listing.revision
             self.apply_listing(listing)
             return
-        result = await self._store.watch(self.kind, self._watch_revision, self._wait_s)
+        wait_s = CONFIRMATION_WAIT_S if self._failure_count else self._wait_s
+        result = await self._store.watch(self.kind, self._watch_revision, wait_s)
         if isinstance(result, objects.Unavailable):
-            await self._handle_failure(result.reason)
+            await self._handle_failure(result)
             return
         self._handle_success()
         if isinstance(result, objects.HistoryGone):
@@ -155,10 +165,20 @@
         self.last_answer_s = asyncio.get_running_loop().time()
         self._handler.on_store_answered()
 
-    async def _handle_failure(self, reason: str) -> None:
+    def reconnect(self) -> None:
+        """Repeat the call in progress on a new connection, unless the watch is failing already."""
+        if not self._failure_count:
+            self.transport.close()
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._failure_count > 0
+
+    async def _handle_failure(self, failure: objects.Unavailable) -> None:
         if not self._failure_count:
-            log.event(_logger, "store_lost", logging.WARNING, kind=self.kind, reason=reason)
-        self._handler.on_store_lost()
+            log.event(_logger, "store_lost", logging.WARNING, kind=self.kind, reason=failure.reason)
+        self._handler.on_store_lost(failure.timed_out)
         min_pause_s, max_pause_s = RETRY_PAUSE_RANGE_S
         pause_s = min(max_pause_s, min_pause_s * 2**self._failure_count)
         self._failure_count = min(self._failure_count + 1, 16)
--- /dev/null
+++ b/packages/gateway/tests/test_silent_store_connections.py
@@ -0,0 +1,52 @@
+"""Open connections to the store that fall silent without a reset, while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import typing
+
+import pytest
+from gentianpaddle_platform_standins import documents, front_system
+
+STABILITY_WINDOW_S = 3.0
+"""Time after the fault from which the limits on the delay of changes apply again."""
+
+CHANGE_LIMIT_S = 2.0
+"""Maximum delay between a change and its effect."""
+
+
+def withdraw_key(running: front_system.System) -> None:
+    running.store.put("config", "main", documents.configuration(2, keys=("key-2",)))
+
+
+def evacuate(running: front_system.System) -> None:
+    running.store.put("evacuations", "north", {})
+
+
+def drain_server(running: front_system.System) -> None:
+    for standin in running.replicas:
+        entry = {**standin.entry("app", "north"), "state": "draining"}
+        running.store.put("servers", standin.server, entry)
+
+
+@pytest.mark.parametrize(
+    ("change", "status"), [(withdraw_key, 401), (evacuate, 503), (drain_server, 503)]
+)
+def test_changes_take_effect_after_store_connections_fell_silent(
+    tmp_path: pathlib.Path,
+    change: typing.Callable[[front_system.System], None],
+    status: int,
+) -> None:
+    """Guards against fronts that apply an old configuration for the rest of a silent watch."""
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            await asyncio.sleep(0.5)
+            running.store.http.silence_connections()
+            await asyncio.sleep(STABILITY_WINDOW_S)
+            change(running)
+            await asyncio.sleep(CHANGE_LIMIT_S)
+            assert (await running.ask("/look/1")).status == status
+
+    asyncio.run(scenario())
