Deny a route or key for good only while the watch of the configuration works

What callers saw: 404 or 401 for a route or key that had just been added, which they do not repeat.

Cause: the state counted as current when any of the three watches had been answered within 6 s, also while the watch of the configuration itself failed. Class: the health of one dependency taken for that of another.

The line of a denial says how old the last answer of the store was.

--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -373,7 +373,8 @@
         reason: str,
         table: routes.RoutingTable,
     ) -> None:
-        if not self._state.is_current(asyncio.get_running_loop().time()):
+        now_s = asyncio.get_running_loop().time()
+        if not self._state.is_current(now_s):
             await self._refuse(head, responder, f"{reason}_uncertain", OUTDATED_RETRY_AFTER_S)
             return
         self._metrics.count_request("", reason)
@@ -384,6 +385,7 @@
             status=status,
             reason=reason,
             version=table.version,
+            store_age_s=self._state.answer_age_s(now_s),
         )
         await responder.respond(status, [], b"")
 
--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import typing
 
 from gentianpaddle_core import ids
@@ -14,7 +15,7 @@
 
 _logger = logging.getLogger("gentianpaddle.beliefs")
 
-CURRENT_AGE_LIMIT_S = 6.0
+CURRENT_AGE_LIMIT_S = store_watch.WATCH_WAIT_S + 1.0
 """Maximum age of the last answer from the store at which the state counts as current, so that an
 unknown route or key can be denied permanently. Slightly longer than the wait of the shortest
 watch."""
@@ -51,13 +52,26 @@
     def is_current(self, now_s: float) -> bool:
         """Return whether the state is recent enough to deny an unknown route or key permanently.
 
+        The watch of the configuration must work. Its answers are too rare to show that it does, but
+        it is reconnected when the watch of the servers is silent.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return (
+            not self.watches[documents.CONFIGURATION_KIND].failing
+            and self.answer_age_s(now_s) < CURRENT_AGE_LIMIT_S
+        )
+
+    def answer_age_s(self, now_s: float) -> float:
+        """Return the time since the store last answered a watch; infinity before the first answer.
+
         Args:
             now_s: Monotonic time in seconds.
         """
         answer_times_s = [watch.last_answer_s for watch in self.watches.values()]
-        return any(
-            answered_s is not None and now_s - answered_s < CURRENT_AGE_LIMIT_S
-            for answered_s in answer_times_s
+        return now_s - max(
+            (time_s for time_s in answer_times_s if time_s is not None), default=-math.inf
         )
 
     def reconnect_watches(self, silent_kind: str) -> None:
--- a/packages/gateway/tests/test_silent_store_connections.py
+++ b/packages/gateway/tests/test_store_watch.py
@@ -1,4 +1,4 @@
-"""Open connections to the store that fall silent without a reset, while new ones work."""
+"""Watches of the store that fail or fall silent, one or all of them, while the store works."""
 
 from __future__ import annotations
 
@@ -50,3 +50,20 @@
             assert (await running.ask("/look/1")).status == status
 
     asyncio.run(scenario())
+
+
+def test_unknown_key_is_not_denied_while_the_configuration_cannot_be_read(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against denying a new key for good because another watch than its own works."""
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            assert (await running.ask("/look/1", key="key-2")).status == 401
+            running.store.refused_kinds.add("config")
+            running.store.http.abort_connections()
+            await asyncio.sleep(0.5)
+            running.store.put("config", "main", documents.configuration(2, keys=("key-2",)))
+            assert (await running.ask("/look/1", key="key-2")).status == 503
+
+    asyncio.run(scenario())
