Log the server of a request whose caller left

The line caller_left told the number of finished attempts only, so a request that waited in the queue looked like one in progress at a server. No change of behaviour.

--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 
+from gentianpaddle_core import ids
 from gentianpaddle_core.serving import attempts, event_stream, routes, servers
 from gentianpaddle_gateway import http_client, http_server, silence_watch
 from gentianpaddle_platform import headers
@@ -35,6 +36,8 @@
     reader: event_stream.EventReader
     """Reader of the event stream; knows which events the caller has received."""
     history: attempts.AttemptHistory = dataclasses.field(default_factory=attempts.AttemptHistory)
+    current_server: ids.BackendServerId | None = None
+    """Server of the attempt in progress, or None while the request waits for a server."""
     retry_acquired: bool = False
     """Whether a retry was taken from the shared budget before the last attempt was given up."""
     first_event_s: float | None = None
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -148,6 +148,7 @@
                 "caller_left",
                 request=head.request_id,
                 route=route.name,
+                server=context.current_server,
                 sends=context.history.total_attempts,
                 after_ms=(asyncio.get_running_loop().time() - request.arrived_s) * 1000.0,
             )
@@ -168,6 +169,7 @@
             if isinstance(chosen, service_queue.Refusal):
                 await self._end_without_server(context, responder, chosen, last_outcome)
                 return
+            context.current_server = chosen.id
             attempt_started_s = asyncio.get_running_loop().time()
             outcome: attempt.AttemptOutcome | None = None
             try:
@@ -182,6 +184,7 @@
                 duration_s = asyncio.get_running_loop().time() - attempt_started_s
                 served = isinstance(outcome, attempt.Served)
                 queue.release(chosen.id, duration_s if served else None)
+            context.current_server = None
             self._record_outcome(context, chosen, outcome)
             last_outcome = outcome
             if isinstance(outcome, attempt.Served):
