Hold requests with a part of a prompt that crashed a server

Cause: nothing on the platform's path remembered what was at a server when it fell, so each of the following requests crashed the next rank. Class: an input that harms the servers is retried or repeated without limit.

Change: when a server closes the connection of a request whose answer has not begun, the shared parts of its prompt are suspects (crash_suspects). Parts of answers that began are innocent; a request whose head had arrived weighs more than others. Fronts exchange crashes and innocents in datagrams. A part that is left alone is held: its requests are refused at once, also those in the queue, with the time of the next trial as Retry-After. A part that is one of several suspects gets a trial each 2 s, one that is alone after 30 s, then 60 s and so on; an answer that begins frees it. Losses count little until the group is reported closed, and nothing when the group has stalled before. A request without a prompt is held by its fingerprint after three crashes.

--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import typing
 
 from gentianpaddle_core.serving import routes
@@ -44,6 +45,18 @@
     reason: str
     silent: bool = False
     """Whether the attempt was given up because the server said nothing."""
+    closed_by_server: bool = False
+    """Whether the server closed or reset the connection."""
+
+
+class AnswerStage(enum.Enum):
+    """How much of the answer of one attempt has arrived."""
+
+    NOTHING = "nothing"
+    HEAD = "head"
+    """Status and headers, but no event of a stream."""
+    BEGUN = "begun"
+    """An event, or a complete failure or plain answer."""
 
 
 AttemptResult = NotRun | ServerFailure | Lost
--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import typing
+from collections.abc import Callable
 
 T = typing.TypeVar("T")
 
@@ -32,7 +33,7 @@
 honour at most a third of the time they have left."""
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class QueuedRequest(typing.Generic[T]):
     """Queued request. All times are monotonic, in seconds."""
 
@@ -102,10 +103,21 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        expired_entries = [entry for entry in self._entries if entry.end_s <= now_s]
-        if expired_entries:
-            self._entries = [entry for entry in self._entries if entry.end_s > now_s]
-        return expired_entries
+        return self._pop(lambda entry: entry.end_s <= now_s)
+
+    def pop_items(self, condition: Callable[[T], bool]) -> list[QueuedRequest[T]]:
+        """Remove and return the requests for which a condition holds.
+
+        Args:
+            condition: The condition.
+        """
+        return self._pop(lambda entry: condition(entry.item))
+
+    def _pop(self, condition: Callable[[QueuedRequest[T]], bool]) -> list[QueuedRequest[T]]:
+        popped = [entry for entry in self._entries if condition(entry)]
+        if popped:
+            self._entries = [entry for entry in self._entries if entry not in popped]
+        return popped
 
     def record_duration(self, duration_s: float) -> None:
         """Record the duration of a request of this service that has ended.
--- /dev/null
+++ b/packages/core/tests/test_crash_suspects.py
@@ -0,0 +1,246 @@
+"""Decisions about requests that crash servers: single cases, and a replay with several fronts."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import random
+
+import pytest
+
+from gentianpaddle_core import ids
+from gentianpaddle_core.serving import crash_suspects, silence
+
+SERVER = ids.BackendServerId("s1")
+
+
+def causes(*parts: str, request: str = "r") -> crash_suspects.RequestCauses:
+    return crash_suspects.RequestCauses(
+        tuple(crash_suspects.Cause(part) for part in parts), crash_suspects.Cause(request)
+    )
+
+
+def crash(
+    starting: str = "", waiting: str = "", at_s: float = 10.0, server: str = "s1", request: str = ""
+) -> crash_suspects.Crash:
+    return crash_suspects.Crash(
+        ids.BackendServerId(server),
+        at_s,
+        starting={crash_suspects.Cause(part) for part in starting.split()},
+        waiting={crash_suspects.Cause(part) for part in waiting.split()},
+        fingerprints={crash_suspects.Cause(item) for item in request.split()},
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """Crashes, answers that began after them, and what is held then."""
+
+    name: str
+    crashes: list[crash_suspects.Crash]
+    answered: list[str]
+    held: list[str]
+    free: list[str]
+    now_s: float = 14.0
+    """Time of the decision: the group is open again."""
+
+
+CASES = [
+    Case("one suspect after one crash", [crash("a x")], ["a"], ["a x", "b x", "x"], ["a", "b"]),
+    Case("an answer began before the others", [crash("x", "b")], [], ["x"], ["b"]),
+    Case("nothing was about to begin", [crash("", "a x")], ["a"], ["x"], ["a"], now_s=11.0),
+    Case("many suspects are not held", [crash("", "a b c d e")], [], [], ["a", "b"], now_s=11.0),
+    Case(
+        "two crashes have one part in common",
+        [crash("", "a b x"), crash("", "c d x", 20.0, "s2")],
+        [],
+        ["x"],
+        ["a", "b", "c"],
+        now_s=21.0,
+    ),
+    Case(
+        "a loss of power has another cause",
+        [crash("", "x", server=f"s{number}") for number in range(4)],
+        [],
+        [],
+        ["x"],
+        now_s=11.0,
+    ),
+    Case("all suspects are innocent", [crash("a b")], ["a", "b"], [], ["a", "b", "a b"]),
+    Case("an old crash is forgotten", [crash("x", at_s=-4_000.0)], [], [], ["x"]),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=[case.name for case in CASES])
+def test_held_parts(case: Case) -> None:
+    """Guards against requests that crash one server after the other, and against holding others."""
+    suspects = crash_suspects.CrashSuspects()
+    suspects.merge(case.crashes, 10.0)
+    suspects.confirm(11.0)
+    for part in case.answered:
+        suspects.record_answer(causes(part), 12.0)
+    for parts in case.held:
+        assert suspects.held(causes(*parts.split()), case.now_s) is not None, parts
+    for parts in case.free:
+        assert suspects.held(causes(*parts.split()), case.now_s) is None, parts
+
+
+def test_merging_gives_the_same_in_any_order() -> None:
+    """Guards against fronts that hold different parts after the same messages."""
+    crashes = [
+        crash("a x"),
+        crash("", "b c", 10.1),
+        crash("", "x d", 30.0, "s2"),
+        crash("e", "", 50.0, "s3"),
+    ]
+    expected = None
+    for seed in range(20):
+        order = random.Random(seed).sample(crashes * 2, len(crashes) * 2)
+        suspects = crash_suspects.CrashSuspects()
+        for item in order:
+            suspects.merge([dataclasses.replace(item)], 60.0)
+        suspects.record_answer(causes("a"), 61.0)
+        expected = expected or suspects.held_parts()
+        assert suspects.held_parts() == expected
+
+
+def test_part_that_was_held_wrongly_is_free_after_a_trial() -> None:
+    """Guards against sound requests that are refused for good after a crash by another cause."""
+    suspects = crash_suspects.CrashSuspects()
+    suspects.merge([crash("x y")], 10.0)
+    suspects.confirm(11.0)
+    innocent = causes("x", request="r1")
+    assert suspects.held(innocent, 11.0) is not None
+    later_s = 10.1 + crash_suspects.UNCERTAIN_TRIAL_INTERVAL_S
+    assert suspects.held(innocent, later_s) is None
+    assert suspects.start_trial(innocent, later_s) == ["x"]
+    # One trial at a time.
+    assert suspects.held(causes("x", request="r2"), later_s + 0.1) is not None
+    assert suspects.record_answer(innocent, later_s + 0.2)
+    assert suspects.held(causes("x", request="r3"), later_s + 0.3) is None
+    assert suspects.held(causes("y"), later_s + 5.0) is not None
+
+
+def test_trials_become_rare_with_each_crash() -> None:
+    """Guards against more than three trials of a fatal part after its fifth crash."""
+    suspects = crash_suspects.CrashSuspects()
+    now_s, crash_times_s = 0.0, [0.0]
+    suspects.merge([crash("x", at_s=0.0, server="s0")], 0.0)
+    while now_s < 600.0:
+        now_s += 0.1
+        suspects.confirm(now_s)
+        if suspects.held(causes("x"), now_s) is None:
+            suspects.start_trial(causes("x"), now_s)
+            crash_times_s.append(now_s)
+            suspects.merge([crash("x", at_s=now_s, server=f"s{len(crash_times_s)}")], now_s)
+    assert len(crash_times_s) <= 5 + 3
+
+
+def test_repeated_request_is_held_after_three_crashes() -> None:
+    """Guards against a request without a prompt that crashes each server to which it is sent."""
+    suspects = crash_suspects.CrashSuspects()
+    for number in range(3):
+        assert suspects.held(causes(request="f"), 10.0 + number) is None
+        suspects.merge([crash(at_s=10.0 + number, server=f"s{number}", request="f")], 13.0)
+    assert suspects.held(causes(request="f"), 13.0) is not None
+    assert suspects.held(causes(request="g"), 13.0) is None
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "progress_s", "expected"), [(9.7, 0.0, True), (5.0, 9.8, True), (5.0, 8.4, False)]
+)
+def test_requests_lost_with_their_group_prove_no_crash(
+    sent_s: float, progress_s: float, expected: bool
+) -> None:
+    """Guards against blaming the requests at sound ranks that break off after a stall."""
+    progress = silence.ServiceProgress()
+    progress.record_progress(ids.BackendServerId("other"), progress_s)
+    assert crash_suspects.proves_crash(progress, SERVER, sent_s, 10.0) is expected
+
+
+MESSAGE_DELAY_S = 0.06
+FIRST_EVENT_S = 0.17
+OUTAGE_S = 4.0
+REPLAY_S = 30.0
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize(("fronts", "engines", "rate_per_s"), [(8, 16, 36.0), (31, 72, 134.0)])
+def test_replay_of_a_fatal_prompt_part(
+    fronts: int, engines: int, rate_per_s: float, seed: int
+) -> None:
+    """Guards against an outage of the group for each request with a fatal part.
+
+    From second 4, 5 of 100 requests of one kind hold the fatal part. They share their first parts
+    with sound requests and arrive at any front. When a rank crashes, nothing begins for 4 s.
+    """
+    rng = random.Random(seed)
+    suspects = [crash_suspects.CrashSuspects() for _ in range(fronts)]
+    waiting: list[tuple[int, crash_suspects.RequestCauses]] = []
+    crashes: list[float] = []
+    sound = refused = 0
+    open_s = 0.0
+    events: list[tuple[float, int, str, tuple[object, ...]]] = []
+    order = 0
+
+    def schedule(at_s: float, kind: str, *payload: object) -> None:
+        nonlocal order
+        order += 1
+        heapq.heappush(events, (at_s, order, kind, payload))
+
+    def start(front: int, request: crash_suspects.RequestCauses, at_s: float) -> None:
+        nonlocal refused
+        if suspects[front].held(request, at_s) is not None:
+            refused += at_s > 10.0 and "fatal" not in request.parts
+            return
+        suspects[front].start_trial(request, at_s)
+        schedule(at_s + FIRST_EVENT_S, "begin", front, request, rng.randrange(engines), at_s)
+
+    schedule(0.0, "arrive")
+    while events and events[0][0] < REPLAY_S:
+        now_s, number, kind, payload = heapq.heappop(events)
+        if kind == "arrive":
+            parts = [f"first-{rng.randrange(90)}"]
+            if now_s > 4.0 and rng.random() < 0.025:
+                parts.append("fatal")
+            else:
+                sound += now_s > 10.0
+            front, request = rng.randrange(fronts), causes(*parts, request=f"r{number}")
+            if now_s < open_s:
+                waiting.append((front, request))
+            else:
+                start(front, request, now_s)
+            schedule(now_s + rng.expovariate(rate_per_s), "arrive")
+        elif kind == "begin":
+            front, request, engine, sent_s = payload  # type: ignore[assignment]
+            if crashes and sent_s < crashes[-1] <= now_s:
+                continue
+            if "fatal" not in request.parts:
+                suspects[front].record_answer(request, now_s)
+                continue
+            crashes.append(now_s)
+            open_s = now_s + OUTAGE_S
+            server = f"e{engine}-{len(crashes)}"
+            for receiver in range(fronts):
+                delay_s = 0.0 if receiver == front else MESSAGE_DELAY_S
+                schedule(now_s + delay_s, "hear", receiver, server, request, now_s)
+            schedule(open_s, "open")
+        elif kind == "hear":
+            receiver, server, request, crashed_s = payload  # type: ignore[assignment]
+            known = crash_suspects.Crash(
+                ids.BackendServerId(server), crashed_s, starting=set(request.parts)
+            )
+            # A front that has seen an answer with the first part tells the others.
+            if any(request.parts[0] in each._answered_s_by_cause for each in suspects):
+                known.innocent = {request.parts[0]}
+            suspects[receiver].merge([known], now_s)
+        else:
+            for each in suspects:
+                each.confirm(now_s - 2.0)
+            resumed, waiting = waiting, []
+            for front, request in resumed:
+                start(front, request, now_s)
+    # The fatal part must be known after one or two crashes.
+    assert 1 <= len(crashes) <= 2
+    # Sound requests begin at least half as often as usual, also those with the same first part.
+    assert refused <= 0.05 * sound
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import attempts, event_stream, routes, servers
+from gentianpaddle_core.serving import attempts, crash_suspects, event_stream, routes, servers
 from gentianpaddle_gateway import http_client, http_server, silence_watch
 from gentianpaddle_platform import headers
 
@@ -31,6 +32,10 @@
     service: routes.Service
     organisation: str | None
     """Organisation of the caller's key; None if the request needs no key."""
+    causes: crash_suspects.RequestCauses
+    """What may make the request crash servers."""
+    answer_began: Callable[[], None]
+    """Called when the answer to an attempt begins."""
     expires_at_s: float
     """Monotonic time at which the deadline of the caller or the time-out of the route expires."""
     reader: event_stream.EventReader
@@ -38,11 +43,21 @@
     history: attempts.AttemptHistory = dataclasses.field(default_factory=attempts.AttemptHistory)
     current_server: ids.BackendServerId | None = None
     """Server of the attempt in progress, or None while the request waits for a server."""
+    sent_s: float = 0.0
+    """Monotonic time at which the last attempt was sent."""
+    answer_stage: attempts.AnswerStage = attempts.AnswerStage.NOTHING
+    """How much of the answer to the last attempt has arrived."""
     retry_acquired: bool = False
     """Whether a retry was taken from the shared budget before the last attempt was given up."""
     first_event_s: float | None = None
     """Monotonic time at which the first event or the complete answer was ready to be sent."""
 
+    def record_answer_begun(self) -> None:
+        """Record that the answer to the present attempt has begun."""
+        if self.answer_stage is not attempts.AnswerStage.BEGUN:
+            self.answer_stage = attempts.AnswerStage.BEGUN
+            self.answer_began()
+
     def remaining_s(self) -> float:
         """Return the time in seconds until the request expires; negative if it has expired."""
         return self.expires_at_s - asyncio.get_running_loop().time()
@@ -101,7 +116,11 @@
         async with asyncio.timeout(context.remaining_s()):
             return await _forward(context, server, connection, responder, watch, memory)
     except http_client.IncompleteResponseError as error:
-        return attempts.Lost("silent" if watch.silent else str(error), silent=watch.silent)
+        return attempts.Lost(
+            "silent" if watch.silent else str(error),
+            silent=watch.silent,
+            closed_by_server=connection.closed_by_peer,
+        )
     except event_stream.InvalidStreamError as error:
         return attempts.Lost(str(error))
     except TimeoutError:
@@ -128,6 +147,8 @@
         context.reader.last_id,
         len(request.body) if request.has_body else None,
     )
+    context.sent_s = asyncio.get_running_loop().time()
+    context.answer_stage = attempts.AnswerStage.NOTHING
     watch.start()
     await connection.send(request.method, request.target, fields, request.body or None)
     response = await connection.read_head()
@@ -141,13 +162,16 @@
         return attempts.Lost(f"status {response.status} of another request or without a seal")
     if headers.first_value(response.headers, b"content-encoding") is not None:
         return attempts.Lost("encoded body is not supported")
+    context.answer_stage = attempts.AnswerStage.HEAD
     if not 200 <= response.status < 300:
         body = await connection.read_body(FAILURE_BODY_LIMIT_BYTES, memory)
+        context.record_answer_begun()
         return FailureResponse(attempts.ServerFailure(response.status), response, body)
     if context.route.kind is routes.RouteKind.STREAMING:
         return await _relay_events(context, response, connection, responder, watch)
     body = await connection.read_body(ANSWER_BODY_LIMIT_BYTES, memory)
     watch.record_events()
+    context.record_answer_begun()
     context.first_event_s = asyncio.get_running_loop().time()
     await responder.respond(response.status, headers.end_to_end_headers(response.headers), body)
     return Served(response.status)
@@ -172,6 +196,7 @@
         if not events:
             continue
         watch.record_events()
+        context.record_answer_begun()
         if not responder.started:
             context.first_event_s = asyncio.get_running_loop().time()
             await responder.start(response.status, headers.end_to_end_headers(response.headers))
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -5,11 +5,12 @@
 import asyncio
 import logging
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
     attempts,
+    crash_suspects,
     event_stream,
     members,
     placement,
@@ -20,6 +21,7 @@
 )
 from gentianpaddle_gateway import (
     attempt,
+    crash_watch,
     http_client,
     http_server,
     log,
@@ -52,6 +54,7 @@
         process_settings: Settings of this process.
         member_view: Known VMs of the system.
         process_metrics: Metrics of this process.
+        broadcast: Sends a message to all other fronts.
     """
 
     def __init__(
@@ -61,7 +64,9 @@
         process_settings: settings.Settings,
         member_view: members.MemberView,
         process_metrics: metrics.Metrics,
+        broadcast: Callable[[bytes], None],
     ) -> None:
+        self.crash_watch = crash_watch.CrashWatch(broadcast, self._refuse_held)
         self._state = state
         self._server_load = server_load
         self._bounds = process_settings.bounds
@@ -98,6 +103,10 @@
         for queue in self._queue_by_service.values():
             queue.dispatch()
 
+    def _refuse_held(self) -> None:
+        for queue in self._queue_by_service.values():
+            queue.refuse_held()
+
     def waiting_count(self) -> int:
         """Return the number of requests that wait for a server."""
         return sum(queue.waiting_count for queue in self._queue_by_service.values())
@@ -130,8 +139,11 @@
             await self._refuse(head, responder, "unknown_service", OUTDATED_RETRY_AFTER_S)
             return
         timeout_s = min(route.timeout_s, head.remaining_s or DEFAULT_TIMEOUT_S)
+        causes = crash_watch.request_causes(request, head)
         context = attempt.RequestContext(
             request=request,
+            causes=causes,
+            answer_began=lambda: self.crash_watch.record_answer(causes),
             head=head,
             route=route,
             service=service,
@@ -163,12 +175,11 @@
         excluded: list[ids.BackendServerId] = []
         last_outcome: attempt.AttemptOutcome | None = None
         while True:
-            chosen = await queue.acquire(
-                context.route, excluded, context.request.arrived_s, context.expires_at_s
-            )
+            chosen = await self._acquire_server(context, queue, excluded)
             if isinstance(chosen, service_queue.Refusal):
                 await self._end_without_server(context, responder, chosen, last_outcome)
                 return
+            self.crash_watch.record_send(context.causes)
             context.current_server = chosen.id
             attempt_started_s = asyncio.get_running_loop().time()
             outcome: attempt.AttemptOutcome | None = None
@@ -199,6 +210,42 @@
                 await self._send_failure(context, responder, step, outcome)
                 return
 
+    async def _acquire_server(
+        self,
+        context: attempt.RequestContext,
+        queue: service_queue.ServiceQueue,
+        excluded: Collection[ids.BackendServerId],
+    ) -> servers.ServerEntry | service_queue.Refusal:
+        """Wait for a server, or refuse a request that is suspected of crashing servers."""
+
+        def held() -> crash_suspects.Held | None:
+            return self.crash_watch.held(context.causes)
+
+        chosen: servers.ServerEntry | service_queue.Refusal | None = None
+        if held() is None:
+            chosen = await queue.acquire(
+                context.route,
+                excluded,
+                context.request.arrived_s,
+                context.expires_at_s,
+                lambda: held() is not None,
+            )
+        reason = held()
+        if reason is None:
+            assert chosen is not None
+            return chosen
+        if isinstance(chosen, servers.ServerEntry):
+            queue.release(chosen.id, None)
+        log.event(
+            _logger,
+            "held",
+            request=context.head.request_id,
+            cause=reason.cause,
+            blame=reason.blame,
+            crashes=reason.crashes,
+        )
+        return service_queue.Refusal("crashes servers", reason.wait_s)
+
     def _supervision(
         self,
         context: attempt.RequestContext,
@@ -259,8 +306,8 @@
             return
         result = outcome.result if isinstance(outcome, attempt.FailureResponse) else outcome
         if not isinstance(result, attempts.NotRun):
-            if isinstance(result, attempts.Lost) and result.silent:
-                self._server_load.record_silent(server.id)
+            if isinstance(result, attempts.Lost):
+                self._record_loss(context, server, result)
             self._server_load.record_result(server.id, good=False)
         elif result.misdirected:
             self._state.servers.mark_replaced(server.id)
@@ -279,6 +326,14 @@
             remaining_ms=context.remaining_s() * 1000.0,
         )
 
+    def _record_loss(
+        self, context: attempt.RequestContext, server: servers.ServerEntry, lost: attempts.Lost
+    ) -> None:
+        if lost.silent:
+            self._server_load.record_silent(server.id)
+        progress = self._progress_by_service[context.service.name]
+        self.crash_watch.record_loss(context, server.id, lost, progress)
+
     def _record_served(
         self, context: attempt.RequestContext, server: servers.ServerEntry, outcome: attempt.Served
     ) -> None:
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -12,6 +12,7 @@
 from gentianpaddle_core.serving import collectors, members, placement, routes, servers
 from gentianpaddle_gateway import (
     background_tasks,
+    crash_messages,
     distribution,
     forwarder,
     http_client,
@@ -82,7 +83,12 @@
         )
         self._metrics = metrics.new_metrics()
         self._forwarder = forwarder.Forwarder(
-            self._state, self._server_load, process_settings, self._members, self._metrics
+            self._state,
+            self._server_load,
+            process_settings,
+            self._members,
+            self._metrics,
+            self._broadcast,
         )
         self._caller_server = http_server.Server(self._forwarder.handle, self._forwarder.limits)
         self._registration = peers.Registration(
@@ -198,6 +204,7 @@
         live_fronts = self._members.live_fronts(asyncio.get_running_loop().time())
         self._metrics.set_gauge("fronts", 1 + len(live_fronts))
         self._metrics.set_gauge("waiting", self._forwarder.waiting_count())
+        self._metrics.set_gauge("held_parts", self._forwarder.crash_watch.held_count)
         self._metrics.set_gauge("in_progress", self._caller_server.in_progress)
         table = self._state.table
         self._metrics.set_gauge("configuration_version", table.version if table else 0)
@@ -220,6 +227,10 @@
                 self._apply_load(load, now_s)
                 loads_received = True
                 continue
+            crashes = crash_messages.decode(message, now_s)
+            if crashes is not None:
+                self._forwarder.crash_watch.receive(crashes)
+                continue
             heartbeat = peers.decode_heartbeat(message)
             if heartbeat is not None:
                 self._apply_heartbeat(heartbeat, now_s)
@@ -244,6 +255,8 @@
             asyncio.get_running_loop().create_task(self._fetch_snapshot(heartbeat.member))
 
     def _apply_load(self, load: peers.EngineLoad, now_s: float) -> None:
+        if not load.group_open:
+            self._forwarder.crash_watch.record_closed_group()
         for entry in self._servers_by_address.get(load.address, ()):
             # A restarted engine at the same address is a different server with a different id.
             if entry.started_ms in (0, load.started_ms):
@@ -263,6 +276,7 @@
     async def _send_heartbeats(self) -> None:
         while True:
             self._send_heartbeat()
+            self._forwarder.crash_watch.repeat(self._collecting)
             await asyncio.sleep(members.HEARTBEAT_S)
 
     def _send_heartbeat(self, to_each: bool = False) -> None:
@@ -284,11 +298,18 @@
             for datagram in distribution.encode_batches(distribution.Step.DELIVER, [message]):
                 for member in self._members.other_fronts():
                     self._datagrams.send(datagram, member)
-        elif self._collecting or not self._submitter.submit(message):
-            self._distributor.publish([message])
+        else:
+            self._broadcast(message)
         if self._collecting or to_each:
             self._announce_to_sides(message, now_s)
 
+    def _broadcast(self, message: bytes) -> None:
+        """Send a message to all other fronts, through a collector if one is known."""
+        if self._distributor is None or self._submitter is None:
+            return
+        if self._collecting or not self._submitter.submit(message):
+            self._distributor.publish([message])
+
     def _set_collecting(self, now_s: float) -> None:
         collecting = not self._stopping.is_set() and collectors.is_collector(
             self._member, self._members.live_fronts(now_s)
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -90,6 +90,11 @@
             and self._parser.our_state is h11.IDLE
         )
 
+    @property
+    def closed_by_peer(self) -> bool:
+        """Whether the peer has closed or reset the connection, and this process has not."""
+        return not self._closed and (self.channel.at_eof or self.channel.closed)
+
     async def send(
         self, method: str, target: str, fields: list[headers.Header], body: bytes | None
     ) -> None:
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -6,7 +6,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import placement, rates, request_queue, routes, servers
@@ -44,8 +44,10 @@
 class _QueuedRequest:
     excluded: Collection[ids.BackendServerId]
     """Servers that ran or may have run the request."""
+    is_held: Callable[[], bool]
+    """Returns whether the request may not be sent to any server."""
     assigned_server: asyncio.Future[servers.ServerEntry | None]
-    """Assigned server, or None if the request expired in the queue."""
+    """Assigned server, or None if the request expired in the queue or is held."""
 
 
 class ServiceQueue:
@@ -86,6 +88,7 @@
         excluded: Collection[ids.BackendServerId],
         arrived_s: float,
         expires_at_s: float,
+        is_held: Callable[[], bool],
     ) -> servers.ServerEntry | Refusal:
         """Wait for a server with free capacity.
 
@@ -94,6 +97,7 @@
             excluded: Servers that ran or may have run the request.
             arrived_s: Monotonic time at which the request arrived.
             expires_at_s: Monotonic time at which the request expires.
+            is_held: Returns whether the request may not be sent to any server.
 
         Returns:
             Server whose load now includes the request, or a refusal. The caller has to call
@@ -111,7 +115,7 @@
         slot_share = self._slot_share(now_s)
         if now_s + self._queue.expected_wait_s(slot_share) > latest_start_s:
             return self._refusal("no place in time" if slot_share else "no server", now_s)
-        queued = _QueuedRequest(excluded, asyncio.get_running_loop().create_future())
+        queued = _QueuedRequest(excluded, is_held, asyncio.get_running_loop().create_future())
         self._queue.add(
             request_queue.QueuedRequest(
                 queued,
@@ -153,9 +157,7 @@
     def dispatch(self) -> None:
         """Assign servers to queued requests and refuse those that have expired."""
         now_s = asyncio.get_running_loop().time()
-        for entry in self._queue.pop_expired(now_s):
-            if not entry.item.assigned_server.done():
-                entry.item.assigned_server.set_result(None)
+        self._refuse(self._queue.pop_expired(now_s))
         while (first := self._queue.next_to_start(now_s)) is not None:
             chosen = self._choose_server(first.item.excluded, now_s)
             if chosen is None:
@@ -166,6 +168,15 @@
             else:
                 first.item.assigned_server.set_result(chosen)
 
+    def refuse_held(self) -> None:
+        """Refuse the queued requests that may no longer be sent to any server."""
+        self._refuse(self._queue.pop_items(lambda item: item.is_held()))
+
+    def _refuse(self, entries: Iterable[request_queue.QueuedRequest[_QueuedRequest]]) -> None:
+        for entry in entries:
+            if not entry.item.assigned_server.done():
+                entry.item.assigned_server.set_result(None)
+
     def has_alternative(self, excluded: Collection[ids.BackendServerId], now_s: float) -> bool:
         """Return whether a server other than the excluded ones can take a request now.
 
