Do not take an empty stream without length for a complete answer

What callers saw: an answer with status 200 and no event that looked complete.

Cause: a stream that has neither a length nor chunks ends with its connection, and a server that crashes after the head ends it too. The front passed that end on as the end of the answer. Class: the end of a connection taken for the end of a message.

Change: such a stream that ends before its first event is a lost attempt. One that ends within an event was one already.

Evidence: the new test got 200 with an empty body before and gets 502 now.

--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -183,6 +183,10 @@
     )
 
 
+def _has_framing(response: http_client.ResponseHead) -> bool:
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in response.headers)
+
+
 async def _relay_events(
     context: RequestContext,
     response: http_client.ResponseHead,
@@ -204,6 +208,9 @@
         watch.caller_has_received()
     if context.reader.partial:
         return attempts.Lost("the stream ended within an event")
+    if context.reader.last_id is None and not _has_framing(response):
+        # Without framing, the end of the connection cannot be told from a crash of the server.
+        return attempts.Lost("the stream ended without an event", closed_by_server=True)
     if not responder.started:
         await responder.start(response.status, headers.end_to_end_headers(response.headers))
     await responder.finish()
--- a/packages/gateway/tests/test_crash_watch.py
+++ b/packages/gateway/tests/test_crash_watch.py
@@ -6,7 +6,7 @@
 import pathlib
 
 import pytest
-from gentianpaddle_platform_standins import front_system
+from gentianpaddle_platform_standins import front_system, replica
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import crash_suspects
@@ -57,6 +57,20 @@
     asyncio.run(scenario())
 
 
+def test_stream_without_length_that_ends_after_its_head_is_not_complete(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a crash that looks like a complete answer without events."""
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            for standin in running.replicas:
+                standin.pending_failures = [replica.InjectedFailure.EMPTY] * 2
+            assert (await ask(running.host, "", "empty")).status == 502
+
+    asyncio.run(scenario())
+
+
 def test_message_is_decoded_as_it_was_encoded() -> None:
     """Guards against fronts that misread each other's crashes."""
     crash = crash_suspects.Crash(
