Reject a stream before its caller leaves, so that the caller comes back

What callers saw: during an outage of a group of 4 s and more, callers of streams waited for 2 s, left, waited 2 s more at another front, and left for good.

Cause: the queue kept a request as long as its deadline of 8 s allowed, and told rejected callers to come back at once, as it did not know when callers lose patience. Class: a limit that the other side applies and this side does not know.

A request whose first event cannot come before its caller leaves is rejected, and as long as no server is open, the caller is told to come back after one to two seconds.

--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -304,6 +304,18 @@
         weights = [max(0.0, target_level - score) for score in scores]
         return self._random.choices(available, weights)[0]
 
+    def any_open(
+        self, candidates: Collection[servers.ServerEntry], reports_expected: bool, now_s: float
+    ) -> bool:
+        """Return whether a server accepts requests, full or not.
+
+        Args:
+            candidates: Servers that may get the request.
+            reports_expected: Whether these servers report their load.
+            now_s: Monotonic time in seconds.
+        """
+        return any(self._is_open(entry.id, reports_expected, now_s) for entry in candidates)
+
     def _is_open(self, server: ids.BackendServerId, reports_expected: bool, now_s: float) -> bool:
         load = self.load(server)
         if now_s < load.declined_until_s:
--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -3,7 +3,8 @@
 Under an overload of some seconds, a first-in, first-out queue would make every answer late.
 Requests that can still meet their target therefore start first, by the latest start that meets it.
 Late requests use the remaining capacity and a fixed share of the starts, oldest first, so that none
-starves. A request that cannot be served before it is given up is rejected at once.
+starves. A request that cannot be served before it is given up is rejected at once. One that has
+waited until its caller is about to leave is rejected too, so that the caller comes back.
 """
 
 from __future__ import annotations
@@ -25,6 +26,10 @@
 MIN_REMAINING_RATIO = 0.7
 """Minimum time left for a request to be started, relative to the mean duration."""
 
+FIRST_EVENT_ALLOWANCE_S = 0.2
+"""Part of the latency target that an engine needs until the first event: about two passes and the
+processing of a prompt."""
+
 LATE_TURN_INTERVAL = 4
 """While both late requests and requests still on time wait, every n-th start goes to a late one."""
 
@@ -137,13 +142,18 @@
         """Mean time for which a request occupies a slot, in seconds."""
         return self._duration_s if self._duration_s is not None else INITIAL_DURATION_S
 
-    def latest_start_s(self, end_s: float) -> float:
+    def latest_start_s(self, end_s: float, leaves_s: float | None) -> float:
         """Return the time from which a request is no longer worth starting.
 
         Args:
             end_s: Monotonic time in seconds at which the request is given up.
+            leaves_s: Monotonic time in seconds at which its caller leaves if no event has arrived,
+                or None if the caller waits for the end.
         """
-        return end_s - MIN_REMAINING_RATIO * self.duration_s
+        by_duration_s = end_s - MIN_REMAINING_RATIO * self.duration_s
+        if leaves_s is None:
+            return by_duration_s
+        return min(by_duration_s, leaves_s - FIRST_EVENT_ALLOWANCE_S)
 
     def expected_wait_s(self, available_slots: float) -> float:
         """Return the expected wait in seconds of a request that arrives now, behind all others.
@@ -156,13 +166,16 @@
         """
         return len(self._entries) * self.duration_s / max(available_slots, 0.01)
 
-    def retry_after_s(self, available_slots: float, draw: float) -> float:
+    def retry_after_s(self, available_slots: float, any_open: bool, draw: float) -> float:
         """Return the time in seconds after which a rejected caller may retry.
 
         Args:
             available_slots: Number of slots at the servers available to this process.
+            any_open: Whether a server accepts requests at present. If none does, it is not known
+                when one will, and an early retry would only be rejected again.
             draw: Random number from 0 to 1 that spreads the retries.
         """
         shortest, longest = RETRY_AFTER_RANGE_S
-        latest_s = min(longest, max(2.0 * shortest, self.expected_wait_s(available_slots)))
+        wait_s = self.expected_wait_s(available_slots) if any_open else longest
+        latest_s = min(longest, max(2.0 * shortest, wait_s))
         return latest_s * (0.5 + 0.5 * draw)
--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -90,6 +90,9 @@
     """Latency target in seconds, to the first event of a stream or to the complete answer."""
     target_event_gap_s: float | None
     """Target for the longest gap between events in seconds, or None."""
+    caller_patience_s: float | None
+    """Time in seconds without an event after which callers of a stream leave, or None if they wait
+    for their deadline."""
     max_attempts: int
     """Maximum number of attempts of a repeatable request that ran or may have run."""
     public: bool
--- a/packages/core/tests/test_request_queue.py
+++ b/packages/core/tests/test_request_queue.py
@@ -116,7 +116,8 @@
     assert queue.expected_wait_s(places) == pytest.approx(expected_s)
 
 
-def test_requests_are_queued_while_a_group_forms_again() -> None:
+@pytest.mark.parametrize("patience_s", [None, 2.0])
+def test_requests_are_queued_while_a_group_forms_again(patience_s: float | None) -> None:
     """Guards against rejecting requests while a group forms again and nothing completes.
 
     Half of the requests rejected by such an estimate could have been served.
@@ -127,19 +128,61 @@
     # On a calm day a front gets 5 requests per second; the group is down for 3 s.
     for index in range(15):
         now_s = index * 0.2
-        latest_s = queue.latest_start_s(now_s + 8.0)
+        leaves_s = now_s + patience_s if patience_s is not None else None
+        latest_s = queue.latest_start_s(now_s + 8.0, leaves_s)
         if now_s + queue.expected_wait_s(available_slots=12.0) <= latest_s:
             queue.add(entry(index, now_s, now_s + 0.2, latest_s))
             accepted += 1
     assert accepted == 15
 
 
-def test_retry_times_are_spread_within_limits() -> None:
+def lost_in_outage(outage_s: float, patience_known: bool, seed: int) -> int:
+    """Replay callers of streams that leave after 2 s and try twice while no server is open.
+
+    Args:
+        outage_s: Time for which no server is open.
+        patience_known: Whether the queue knows when callers leave.
+        seed: Seed of the arrivals.
+
+    Returns:
+        Number of requests that are still not started when their caller leaves for the second time.
+    """
+    rng = random.Random(seed)
+    queue: request_queue.RequestQueue[int] = request_queue.RequestQueue()
+    lost = 0
+    for _ in range(100):
+        now_s, started = rng.uniform(0.0, outage_s), False
+        for _ in range(2):
+            leaves_s = now_s + CALLER_PATIENCE_S
+            known_s = leaves_s if patience_known else None
+            latest_s = queue.latest_start_s(now_s + 8.0, known_s)
+            if min(latest_s, leaves_s) > outage_s:
+                started = True
+                break
+            rejected = latest_s < leaves_s
+            wait_s = queue.retry_after_s(12.0, any_open=False, draw=rng.random())
+            now_s = latest_s + wait_s if rejected else leaves_s
+        lost += not started
+    return lost
+
+
+CALLER_PATIENCE_S = 2.0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("outage_s", [4.0, 4.6])
+def test_callers_come_back_after_an_outage(outage_s: float, seed: int) -> None:
+    """Guards against callers that leave for good just before a group is open again."""
+    assert lost_in_outage(outage_s, True, seed) == 0
+
+
+@pytest.mark.parametrize("any_open", [True, False])
+def test_retry_times_are_spread_within_limits(any_open: bool) -> None:
     """Guards against rejected callers retrying all at once."""
     queue: request_queue.RequestQueue[int] = request_queue.RequestQueue()
     for index in range(10):
         queue.add(entry(index, 0.0, 1.0, 9.0))
-    waits = [queue.retry_after_s(10.0, draw / 10.0) for draw in range(11)]
+    waits = [queue.retry_after_s(10.0, any_open, draw / 10.0) for draw in range(11)]
     shortest, longest = request_queue.RETRY_AFTER_RANGE_S
     assert all(shortest <= wait_s <= longest for wait_s in waits)
     assert len(set(waits)) > 3
--- a/packages/core/tests/test_serving_decisions.py
+++ b/packages/core/tests/test_serving_decisions.py
@@ -30,6 +30,7 @@
         timeout_s=8.0,
         target_s=0.4,
         target_event_gap_s=0.12,
+        caller_patience_s=None,
         max_attempts=max_attempts,
         public=False,
         priority=1,
--- a/packages/core/tests/test_silence.py
+++ b/packages/core/tests/test_silence.py
@@ -19,6 +19,7 @@
     timeout_s=8.0,
     target_s=0.4,
     target_event_gap_s=0.12,
+    caller_patience_s=None,
     max_attempts=2,
     public=False,
     priority=1,
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -52,6 +52,12 @@
     first_event_s: float | None = None
     """Monotonic time at which the first event or the complete answer was ready to be sent."""
 
+    def caller_leaves_s(self) -> float | None:
+        """Return the monotonic time at which the caller leaves if no event has arrived, or None."""
+        if self.first_event_s is not None or self.route.caller_patience_s is None:
+            return None
+        return self.request.arrived_s + self.route.caller_patience_s
+
     def record_answer_begun(self) -> None:
         """Record that the answer to the present attempt has begun."""
         if self.answer_stage is not attempts.AnswerStage.BEGUN:
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -228,6 +228,7 @@
                 excluded,
                 context.request.arrived_s,
                 context.expires_at_s,
+                context.caller_leaves_s(),
                 lambda: held() is not None,
             )
         reason = held()
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -19,10 +19,6 @@
 """Number of requests beyond its slots that are sent to a server other than an engine. Its
 processing time is a fifth of the target of its callers."""
 
-FIRST_EVENT_ALLOWANCE_S = 0.2
-"""Part of the latency target that an engine needs until the first event: about two passes and the
-processing of a prompt."""
-
 DISPATCH_INTERVAL_S = 0.05
 """Maximum interval between attempts to dispatch queued requests."""
 
@@ -88,6 +84,7 @@
         excluded: Collection[ids.BackendServerId],
         arrived_s: float,
         expires_at_s: float,
+        leaves_s: float | None,
         is_held: Callable[[], bool],
     ) -> servers.ServerEntry | Refusal:
         """Wait for a server with free capacity.
@@ -97,6 +94,7 @@
             excluded: Servers that ran or may have run the request.
             arrived_s: Monotonic time at which the request arrived.
             expires_at_s: Monotonic time at which the request expires.
+            leaves_s: Monotonic time at which the caller leaves if no event has arrived, or None.
             is_held: Returns whether the request may not be sent to any server.
 
         Returns:
@@ -111,7 +109,7 @@
         usable_servers = self._server_view.usable(self._service().name, now_s)
         if excluded and all(entry.id in excluded for entry in usable_servers):
             return self._refusal("no other server", now_s)
-        latest_start_s = self._queue.latest_start_s(expires_at_s)
+        latest_start_s = self._queue.latest_start_s(expires_at_s, leaves_s)
         slot_share = self._slot_share(now_s)
         if now_s + self._queue.expected_wait_s(slot_share) > latest_start_s:
             return self._refusal("no place in time" if slot_share else "no server", now_s)
@@ -120,7 +118,7 @@
             request_queue.QueuedRequest(
                 queued,
                 arrived_s,
-                arrived_s + route.target_s - FIRST_EVENT_ALLOWANCE_S,
+                arrived_s + route.target_s - request_queue.FIRST_EVENT_ALLOWANCE_S,
                 latest_start_s,
             )
         )
@@ -212,7 +210,7 @@
             ]
         engine = service.engine
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
-        reports_load = engine is not None and engine.experts is not None
+        reports_load = _reports_load(service)
         unreported = self._unreported_requests(now_s) if engine is not None else 0.0
         return self._server_load.choose(
             candidates,
@@ -235,4 +233,15 @@
         return rate_per_s * (self._front_count() - 1) * placement.REPORT_VISIBILITY_DELAY_S
 
     def _refusal(self, reason: str, now_s: float) -> Refusal:
-        return Refusal(reason, self._queue.retry_after_s(self._slot_share(now_s), random.random()))
+        service = self._service()
+        any_open = self._server_load.any_open(
+            self._server_view.usable(service.name, now_s), _reports_load(service), now_s
+        )
+        return Refusal(
+            reason,
+            self._queue.retry_after_s(self._slot_share(now_s), any_open, random.random()),
+        )
+
+
+def _reports_load(service: routes.Service) -> bool:
+    return service.engine is not None and service.engine.experts is not None
