Start late requests by their deadlines, so that callers that came back are served

What callers saw: callers that were rejected during an outage and came back were rejected again, for good, while newer callers were served.

Cause: among late requests the one that reached this front first was started first, and a caller that comes back looks new. Its deadline tells: it has less time left.

Change: late requests start by their deadlines, and the expected wait counts only requests that expire earlier.

Evidence: test_callers_that_came_back_start_first fails before.

--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -2,14 +2,15 @@
 
 Under an overload of some seconds, a first-in, first-out queue would make every answer late.
 Requests that can still meet their target therefore start first, by the latest start that meets it.
-Late requests use the remaining capacity and a fixed share of the starts, oldest first, so that none
-starves. A request that cannot be served before it is given up is rejected at once. One that has
-waited until its caller is about to leave is rejected too, so that the caller comes back.
+Late requests use the remaining capacity and a fixed share of the starts, by their deadlines, so
+that none starves. A request that cannot be served before it is given up is rejected at once. One
+that has waited until its caller is about to leave is rejected too, so that the caller comes back.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 from collections.abc import Callable
 
@@ -50,6 +51,9 @@
     """Latest start with which the request can still meet its target."""
     end_s: float
     """Time from which the request is no longer worth starting."""
+    expires_s: float = math.inf
+    """Time of its deadline. A caller that was rejected and came back has less time left than a new
+    one, so that among late requests the one that expires first has waited longest."""
 
 
 class RequestQueue(typing.Generic[T]):
@@ -90,7 +94,7 @@
         if late and (
             not on_time or self._started_count % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1
         ):
-            return min(late, key=lambda entry: entry.arrived_s)
+            return min(late, key=lambda entry: (entry.expires_s, entry.arrived_s))
         return min(on_time, key=lambda entry: entry.start_by_s) if on_time else None
 
     def remove_started(self, waiting: QueuedRequest[T]) -> None:
@@ -155,16 +159,18 @@
             return by_duration_s
         return min(by_duration_s, leaves_s - FIRST_EVENT_ALLOWANCE_S)
 
-    def expected_wait_s(self, available_slots: float) -> float:
-        """Return the expected wait in seconds of a request that arrives now, behind all others.
+    def expected_wait_s(self, available_slots: float, expires_s: float = math.inf) -> float:
+        """Return the expected wait in seconds of a request that arrives now.
 
         The estimate uses the number of slots rather than the recent rate of completions: nothing
         completes while a group of engines is down, and queued requests are served when it is back.
 
         Args:
             available_slots: Number of slots at the servers available to this process.
+            expires_s: Deadline of the request. Those that expire later do not delay it.
         """
-        return len(self._entries) * self.duration_s / max(available_slots, 0.01)
+        ahead = sum(entry.expires_s <= expires_s for entry in self._entries)
+        return ahead * self.duration_s / max(available_slots, 0.01)
 
     def retry_after_s(self, available_slots: float, any_open: bool, draw: float) -> float:
         """Return the time in seconds after which a rejected caller may retry.
--- a/packages/core/tests/test_request_queue.py
+++ b/packages/core/tests/test_request_queue.py
@@ -136,6 +136,22 @@
     assert accepted == 15
 
 
+def test_callers_that_came_back_start_first() -> None:
+    """Guards against rejecting a caller for the second time while newer ones are served."""
+    queue: request_queue.RequestQueue[int] = request_queue.RequestQueue()
+    queue.record_duration(1.0)
+    for index in range(6):
+        queue.add(request_queue.QueuedRequest(index, float(index), 0.5, 20.0, index + 8.0))
+    queue.add(request_queue.QueuedRequest(9, 6.0, 0.5, 20.0, 8.5))
+    assert queue.expected_wait_s(1.0, 8.5) == 2.0
+    assert queue.expected_wait_s(1.0, 14.0) == 7.0
+    order = []
+    while (started := queue.next_to_start(10.0)) is not None:
+        queue.remove_started(started)
+        order.append(started.item)
+    assert order == [0, 9, 1, 2, 3, 4, 5]
+
+
 def lost_in_outage(outage_s: float, patience_known: bool, seed: int) -> int:
     """Replay callers of streams that leave after 2 s and try twice while no server is open.
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -111,7 +111,7 @@
             return self._refusal("no other server", now_s)
         latest_start_s = self._queue.latest_start_s(expires_at_s, leaves_s)
         slot_share = self._slot_share(now_s)
-        if now_s + self._queue.expected_wait_s(slot_share) > latest_start_s:
+        if now_s + self._queue.expected_wait_s(slot_share, expires_at_s) > latest_start_s:
             return self._refusal("no place in time" if slot_share else "no server", now_s)
         queued = _QueuedRequest(excluded, is_held, asyncio.get_running_loop().create_future())
         self._queue.add(
@@ -120,6 +120,7 @@
                 arrived_s,
                 arrived_s + route.target_s - request_queue.FIRST_EVENT_ALLOWANCE_S,
                 latest_start_s,
+                expires_at_s,
             )
         )
         try:
