Move the responses of the forwarder and the records of crashes to modules of their own

No change of behaviour but one: an answer is checked against an index of unproven causes instead of all records.

--- a/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
+++ b/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
@@ -13,15 +13,10 @@
 
 import collections
 import dataclasses
-import typing
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import silence
-
-Cause = typing.NewType("Cause", str)
-"""What may make a request crash servers: a part of its prompt that other requests may share, or its
-fingerprint, which is the same for all copies of the request."""
+from gentianpaddle_core.serving import crash_records, silence
 
 RECORD_AGE_S = 3_600.0
 """Time for which a crash is remembered; much longer than the intervals between trials."""
@@ -70,83 +65,17 @@
 trial that crashes a rank costs its group about 4 s."""
 
 MAX_RECORDS = 64
-MAX_CAUSES = 64
-"""Maximum number of crashes that are remembered, and of causes in each set of one."""
+"""Maximum number of crashes that are remembered."""
 
 MAX_INNOCENT = 8_192
 """Maximum number of causes whose last answer is remembered."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestCauses:
-    """What may make one request crash servers."""
-
-    parts: tuple[Cause, ...]
-    """Parts of its prompt that other requests may share."""
-    fingerprint: Cause
-
-    def __iter__(self) -> Iterator[Cause]:
-        yield from self.parts
-        yield self.fingerprint
-
-
-@dataclasses.dataclass(slots=True)
-class Crash:
-    """One crash of a server."""
-
-    server: ids.BackendServerId
-    crashed_s: float
-    """Monotonic time in seconds at which this process learned of it."""
-    starting: set[Cause] = dataclasses.field(default_factory=set)
-    """Parts of requests whose answer was about to begin."""
-    waiting: set[Cause] = dataclasses.field(default_factory=set)
-    """Parts of other requests whose answer had not begun."""
-    fingerprints: set[Cause] = dataclasses.field(default_factory=set)
-    """Requests whose answer had not begun."""
-    innocent: set[Cause] = dataclasses.field(default_factory=set)
-    """Causes among these that were part of an answer that began."""
-    announced: set[Cause] = dataclasses.field(default_factory=set)
-    """Innocent causes that the other processes have been told of."""
-    confirmed: bool = False
-    """Whether the group of the server was reported closed after the crash."""
-
-    def add(self, other: Crash) -> bool:
-        """Add what another observer knows of the crash.
-
-        Args:
-            other: The same crash.
-
-        Returns:
-            Whether something was new.
-        """
-        before = self._size()
-        for own, added in (
-            (self.starting, other.starting),
-            (self.waiting, other.waiting),
-            (self.fingerprints, other.fingerprints),
-            (self.innocent, other.innocent),
-        ):
-            own.update(sorted(added - own)[: MAX_CAUSES - len(own)])
-        return self._size() != before
-
-    def _size(self) -> int:
-        return len(self.starting) + len(self.waiting) + len(self.fingerprints) + len(self.innocent)
-
-    @property
-    def has_parts(self) -> bool:
-        """Whether parts of prompts may have caused the crash."""
-        return bool(self.starting or self.waiting)
-
-    def causes(self) -> set[Cause]:
-        """Return all possible causes, also those proven innocent."""
-        return {*self.starting, *self.waiting, *self.fingerprints}
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Held:
     """A request that may not be sent now."""
 
-    cause: Cause
+    cause: crash_records.Cause
     """The cause with the most blame."""
     blame: float
     crashes: int
@@ -159,14 +88,18 @@
     """Crashes known to one process, and what may have caused them."""
 
     def __init__(self) -> None:
-        self._crashes: list[Crash] = []
-        self._answered_s_by_cause: collections.OrderedDict[Cause, float] = collections.OrderedDict()
-        self._blame_by_part: dict[Cause, float] = {}
-        self._crashes_by_cause: dict[Cause, int] = {}
-        self._last_crash_s_by_cause: dict[Cause, float] = {}
-        self._trial_s_by_cause: dict[Cause, float] = {}
-
-    def record_answer(self, causes: RequestCauses, now_s: float) -> bool:
+        self._crashes: list[crash_records.Crash] = []
+        self._answered_s_by_cause: collections.OrderedDict[crash_records.Cause, float] = (
+            collections.OrderedDict()
+        )
+        self._unproven: set[crash_records.Cause] = set()
+        """Causes of all crashes that were not part of an answer that began."""
+        self._blame_by_part: dict[crash_records.Cause, float] = {}
+        self._crashes_by_cause: dict[crash_records.Cause, int] = {}
+        self._last_crash_s_by_cause: dict[crash_records.Cause, float] = {}
+        self._trial_s_by_cause: dict[crash_records.Cause, float] = {}
+
+    def record_answer(self, causes: crash_records.RequestCauses, now_s: float) -> bool:
         """Record that the answer to a request has begun, which proves it innocent.
 
         Args:
@@ -183,7 +116,9 @@
             self._answered_s_by_cause.popitem(last=False)
         return self._clear(list(causes), now_s)
 
-    def _clear(self, causes: Collection[Cause], now_s: float) -> bool:
+    def _clear(self, causes: Collection[crash_records.Cause], now_s: float) -> bool:
+        if self._unproven.isdisjoint(causes):
+            return False
         changed = False
         for crash in self._crashes:
             for cause in causes:
@@ -194,7 +129,7 @@
             self._update(now_s)
         return changed
 
-    def merge(self, crashes: Iterable[Crash], now_s: float) -> bool:
+    def merge(self, crashes: Iterable[crash_records.Crash], now_s: float) -> bool:
         """Record crashes that this or another process has observed.
 
         Args:
@@ -210,7 +145,7 @@
                 continue
             known = self.find(crash)
             if known is None:
-                known = Crash(crash.server, crash.crashed_s)
+                known = crash_records.Crash(crash.server, crash.crashed_s)
                 self._crashes.append(known)
             if known.add(crash):
                 changed = True
@@ -242,13 +177,13 @@
             self._update(now_s)
         return bool(unconfirmed)
 
-    def held_parts(self) -> dict[Cause, float]:
+    def held_parts(self) -> dict[crash_records.Cause, float]:
         """Return the blame of each part that is held."""
         return {
             part: blame for part, blame in self._blame_by_part.items() if blame >= MIN_HELD_BLAME
         }
 
-    def find(self, crash: Crash) -> Crash | None:
+    def find(self, crash: crash_records.Crash) -> crash_records.Crash | None:
         """Return the record of a crash that this process has, or None.
 
         Args:
@@ -262,7 +197,7 @@
                 return known
         return None
 
-    def crashes(self, now_s: float) -> list[Crash]:
+    def crashes(self, now_s: float) -> list[crash_records.Crash]:
         """Return the crashes that are remembered, oldest first.
 
         Args:
@@ -282,9 +217,9 @@
             by_value = sorted(self._crashes, key=lambda crash: (crash.has_parts, crash.crashed_s))
             dropped = {id(crash) for crash in by_value[:excess]}
             self._crashes = [crash for crash in self._crashes if id(crash) not in dropped]
-        blame_by_part: dict[Cause, float] = collections.defaultdict(float)
-        crashes_by_cause: dict[Cause, int] = collections.defaultdict(int)
-        last_crash_s_by_cause: dict[Cause, float] = {}
+        blame_by_part: dict[crash_records.Cause, float] = collections.defaultdict(float)
+        crashes_by_cause: dict[crash_records.Cause, int] = collections.defaultdict(int)
+        last_crash_s_by_cause: dict[crash_records.Cause, float] = {}
         for crash in self._crashes:
             starting = crash.starting - crash.innocent
             suspects = starting
@@ -301,6 +236,9 @@
                 last_crash_s_by_cause[cause] = max(
                     crash.crashed_s, last_crash_s_by_cause.get(cause, crash.crashed_s)
                 )
+        self._unproven = set()
+        for crash in self._crashes:
+            self._unproven |= crash.causes() - crash.innocent
         self._blame_by_part = dict(blame_by_part)
         self._crashes_by_cause = dict(crashes_by_cause)
         self._last_crash_s_by_cause = last_crash_s_by_cause
@@ -310,7 +248,7 @@
             if cause in crashes_by_cause
         }
 
-    def _is_mass_crash(self, crash: Crash) -> bool:
+    def _is_mass_crash(self, crash: crash_records.Crash) -> bool:
         near = {
             other.server
             for other in self._crashes
@@ -318,7 +256,7 @@
         }
         return len(near) >= MASS_CRASH_SERVERS
 
-    def held(self, causes: RequestCauses, now_s: float) -> Held | None:
+    def held(self, causes: crash_records.RequestCauses, now_s: float) -> Held | None:
         """Return why a request may not be sent now, or None if it may.
 
         Args:
@@ -337,9 +275,9 @@
         worst = max(suspects, key=lambda cause: suspects[cause])
         return Held(worst, blame, self._crashes_by_cause[worst], wait_s)
 
-    def _suspects(self, causes: RequestCauses) -> dict[Cause, float]:
+    def _suspects(self, causes: crash_records.RequestCauses) -> dict[crash_records.Cause, float]:
         """Return the blame of the causes of a request that are held."""
-        blame_by_cause: dict[Cause, float] = {
+        blame_by_cause: dict[crash_records.Cause, float] = {
             part: self._blame_by_part[part]
             for part in causes.parts
             if self._blame_by_part.get(part, 0.0) >= MIN_HELD_BLAME
@@ -348,7 +286,7 @@
             blame_by_cause[causes.fingerprint] = CERTAIN_BLAME
         return blame_by_cause
 
-    def _next_trial_s(self, cause: Cause, blame: float) -> float:
+    def _next_trial_s(self, cause: crash_records.Cause, blame: float) -> float:
         last_s = max(
             self._last_crash_s_by_cause[cause], self._trial_s_by_cause.get(cause, -RECORD_AGE_S)
         )
@@ -357,7 +295,9 @@
         crashes: int = self._crashes_by_cause[cause]
         return last_s + float(CERTAIN_TRIAL_INTERVAL_S * 2 ** (crashes - 1))
 
-    def start_trial(self, causes: RequestCauses, now_s: float) -> list[Cause]:
+    def start_trial(
+        self, causes: crash_records.RequestCauses, now_s: float
+    ) -> list[crash_records.Cause]:
         """Record that a request is sent, which delays other trials of the suspects that it holds.
 
         Args:
@@ -373,7 +313,7 @@
         self.record_trial(suspects, now_s)
         return suspects
 
-    def record_trial(self, suspects: Iterable[Cause], now_s: float) -> None:
+    def record_trial(self, suspects: Iterable[crash_records.Cause], now_s: float) -> None:
         """Record a trial of this or another process.
 
         Args:
--- a/packages/core/tests/test_crash_suspects.py
+++ b/packages/core/tests/test_crash_suspects.py
@@ -9,26 +9,26 @@
 import pytest
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import crash_suspects, silence
+from gentianpaddle_core.serving import crash_records, crash_suspects, silence
 
 SERVER = ids.BackendServerId("s1")
 
 
-def causes(*parts: str, request: str = "r") -> crash_suspects.RequestCauses:
-    return crash_suspects.RequestCauses(
-        tuple(crash_suspects.Cause(part) for part in parts), crash_suspects.Cause(request)
+def causes(*parts: str, request: str = "r") -> crash_records.RequestCauses:
+    return crash_records.RequestCauses(
+        tuple(crash_records.Cause(part) for part in parts), crash_records.Cause(request)
     )
 
 
 def crash(
     starting: str = "", waiting: str = "", at_s: float = 10.0, server: str = "s1", request: str = ""
-) -> crash_suspects.Crash:
-    return crash_suspects.Crash(
+) -> crash_records.Crash:
+    return crash_records.Crash(
         ids.BackendServerId(server),
         at_s,
-        starting={crash_suspects.Cause(part) for part in starting.split()},
-        waiting={crash_suspects.Cause(part) for part in waiting.split()},
-        fingerprints={crash_suspects.Cause(item) for item in request.split()},
+        starting={crash_records.Cause(part) for part in starting.split()},
+        waiting={crash_records.Cause(part) for part in waiting.split()},
+        fingerprints={crash_records.Cause(item) for item in request.split()},
     )
 
 
@@ -37,7 +37,7 @@
     """Crashes, answers that began after them, and what is held then."""
 
     name: str
-    crashes: list[crash_suspects.Crash]
+    crashes: list[crash_records.Crash]
     answered: list[str]
     held: list[str]
     free: list[str]
@@ -176,8 +176,9 @@
     """
     rng = random.Random(seed)
     suspects = [crash_suspects.CrashSuspects() for _ in range(fronts)]
-    waiting: list[tuple[int, crash_suspects.RequestCauses]] = []
+    waiting: list[tuple[int, crash_records.RequestCauses]] = []
     crashes: list[float] = []
+    answered: set[crash_records.Cause] = set()
     sound = refused = 0
     open_s = 0.0
     events: list[tuple[float, int, str, tuple[object, ...]]] = []
@@ -188,7 +189,7 @@
         order += 1
         heapq.heappush(events, (at_s, order, kind, payload))
 
-    def start(front: int, request: crash_suspects.RequestCauses, at_s: float) -> None:
+    def start(front: int, request: crash_records.RequestCauses, at_s: float) -> None:
         nonlocal refused
         if suspects[front].held(request, at_s) is not None:
             refused += at_s > 10.0 and "fatal" not in request.parts
@@ -217,6 +218,7 @@
                 continue
             if "fatal" not in request.parts:
                 suspects[front].record_answer(request, now_s)
+                answered.update(request.parts)
                 continue
             crashes.append(now_s)
             open_s = now_s + OUTAGE_S
@@ -227,11 +229,11 @@
             schedule(open_s, "open")
         elif kind == "hear":
             receiver, server, request, crashed_s = payload  # type: ignore[assignment]
-            known = crash_suspects.Crash(
+            known = crash_records.Crash(
                 ids.BackendServerId(server), crashed_s, starting=set(request.parts)
             )
             # A front that has seen an answer with the first part tells the others.
-            if any(request.parts[0] in each._answered_s_by_cause for each in suspects):
+            if request.parts[0] in answered:
                 known.innocent = {request.parts[0]}
             suspects[receiver].merge([known], now_s)
         else:
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import attempts, crash_suspects, event_stream, routes, servers
+from gentianpaddle_core.serving import attempts, crash_records, event_stream, routes, servers
 from gentianpaddle_gateway import http_client, http_server, silence_watch
 from gentianpaddle_platform import headers
 
@@ -32,7 +32,7 @@
     service: routes.Service
     organisation: str | None
     """Organisation of the caller's key; None if the request needs no key."""
-    causes: crash_suspects.RequestCauses
+    causes: crash_records.RequestCauses
     """What may make the request crash servers."""
     answer_began: Callable[[], None]
     """Called when the answer to an attempt begins."""
--- a/packages/gateway/src/gentianpaddle_gateway/crash_messages.py
+++ b/packages/gateway/src/gentianpaddle_gateway/crash_messages.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import crash_suspects
+from gentianpaddle_core.serving import crash_records
 from gentianpaddle_platform import decoding
 
 _TYPE = b"C"
@@ -20,8 +20,8 @@
 class CrashMessage(typing.NamedTuple):
     """Content of a message."""
 
-    crashes: list[crash_suspects.Crash]
-    trials: list[crash_suspects.Cause]
+    crashes: list[crash_records.Crash]
+    trials: list[crash_records.Cause]
     """Suspects of which the sender has just sent a request."""
 
 
@@ -62,21 +62,21 @@
         encoded_crashes, trials = decoding.load_json(data[1:])
         crashes = []
         for server, age_s, starting, waiting, fingerprints, innocent in encoded_crashes:
-            crash = crash_suspects.Crash(
+            crash = crash_records.Crash(
                 ids.BackendServerId(_text(server)), now_s - max(0.0, decoding.finite_float(age_s))
             )
-            crash.starting = {crash_suspects.Cause(item) for item in _texts(starting)}
-            crash.waiting = {crash_suspects.Cause(item) for item in _texts(waiting)}
-            crash.fingerprints = {crash_suspects.Cause(item) for item in _texts(fingerprints)}
-            crash.innocent = {crash_suspects.Cause(item) for item in _texts(innocent)}
+            crash.starting = {crash_records.Cause(item) for item in _texts(starting)}
+            crash.waiting = {crash_records.Cause(item) for item in _texts(waiting)}
+            crash.fingerprints = {crash_records.Cause(item) for item in _texts(fingerprints)}
+            crash.innocent = {crash_records.Cause(item) for item in _texts(innocent)}
             crashes.append(crash)
-        return CrashMessage(crashes, [crash_suspects.Cause(item) for item in _texts(trials)])
+        return CrashMessage(crashes, [crash_records.Cause(item) for item in _texts(trials)])
     except decoding.ERRORS:
         return None
 
 
 def _texts(items: typing.Any) -> Iterable[str]:
-    return [_text(item) for item in list(items)[: crash_suspects.MAX_CAUSES]]
+    return [_text(item) for item in list(items)[: crash_records.MAX_CAUSES]]
 
 
 def _text(item: typing.Any) -> str:
--- a/packages/gateway/src/gentianpaddle_gateway/crash_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/crash_watch.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import attempts, crash_suspects, routes, silence
+from gentianpaddle_core.serving import attempts, crash_records, crash_suspects, routes, silence
 from gentianpaddle_gateway import attempt, crash_messages, http_server, log
 from gentianpaddle_platform import headers
 
@@ -40,8 +40,8 @@
         self._broadcast = broadcast
         self._on_held = on_held
         self._suspects = crash_suspects.CrashSuspects()
-        self._held_parts: set[crash_suspects.Cause] = set()
-        self._unrepeated: list[crash_suspects.Crash] = []
+        self._held_parts: set[crash_records.Cause] = set()
+        self._unrepeated: list[crash_records.Crash] = []
         """Crashes that this front has sent once. Datagrams may be lost."""
         self._repeated_s = -REPEAT_INTERVAL_S
 
@@ -50,7 +50,7 @@
         """Number of prompt parts that are held."""
         return len(self._held_parts)
 
-    def held(self, causes: crash_suspects.RequestCauses) -> crash_suspects.Held | None:
+    def held(self, causes: crash_records.RequestCauses) -> crash_suspects.Held | None:
         """Return why a request may not be sent now, or None if it may.
 
         Args:
@@ -58,7 +58,7 @@
         """
         return self._suspects.held(causes, asyncio.get_running_loop().time())
 
-    def record_send(self, causes: crash_suspects.RequestCauses) -> None:
+    def record_send(self, causes: crash_records.RequestCauses) -> None:
         """Record that a request is sent; the other fronts learn of it if it is a trial of suspects.
 
         Args:
@@ -70,7 +70,7 @@
             log.event(_logger, "suspect_tried", causes=",".join(suspects))
             self._broadcast(crash_messages.encode(crash_messages.CrashMessage([], suspects), now_s))
 
-    def record_answer(self, causes: crash_suspects.RequestCauses) -> None:
+    def record_answer(self, causes: crash_records.RequestCauses) -> None:
         """Record that the answer to a request has begun.
 
         Args:
@@ -103,7 +103,7 @@
             or not crash_suspects.proves_crash(progress, server, context.sent_s, now_s)
         ):
             return
-        crash = crash_suspects.Crash(server, now_s, fingerprints={context.causes.fingerprint})
+        crash = crash_records.Crash(server, now_s, fingerprints={context.causes.fingerprint})
         if context.route.kind is routes.RouteKind.STREAMING:
             starting = context.answer_stage is attempts.AnswerStage.HEAD
             (crash.starting if starting else crash.waiting).update(context.causes.parts)
@@ -148,7 +148,7 @@
         if crashes:
             self._send(crashes[-MAX_REPEATED_CRASHES:], repeated=True)
 
-    def _merge(self, crashes: Sequence[crash_suspects.Crash], now_s: float, source: str) -> None:
+    def _merge(self, crashes: Sequence[crash_records.Crash], now_s: float, source: str) -> None:
         if not self._suspects.merge(crashes, now_s):
             return
         for crash in crashes:
@@ -184,7 +184,7 @@
         if crashes:
             self._send(crashes)
 
-    def _send(self, crashes: Sequence[crash_suspects.Crash], repeated: bool = False) -> None:
+    def _send(self, crashes: Sequence[crash_records.Crash], repeated: bool = False) -> None:
         now_s = asyncio.get_running_loop().time()
         for crash in crashes:
             crash.announced |= crash.innocent
@@ -197,7 +197,7 @@
 
 def request_causes(
     request: http_server.Request, head: headers.RequestHead
-) -> crash_suspects.RequestCauses:
+) -> crash_records.RequestCauses:
     """Return what may make a request crash servers.
 
     Args:
@@ -207,7 +207,7 @@
     content = "\n".join((request.method, request.target, head.api_key or "")).encode()
     digest = hashlib.blake2b(content, digest_size=FINGERPRINT_BYTES)
     digest.update(request.body)
-    return crash_suspects.RequestCauses(
-        tuple(crash_suspects.Cause(part) for part in head.shared_prompt_parts),
-        crash_suspects.Cause(f"request-{digest.hexdigest()}"),
+    return crash_records.RequestCauses(
+        tuple(crash_records.Cause(part) for part in head.shared_prompt_parts),
+        crash_records.Cause(f"request-{digest.hexdigest()}"),
     )
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -21,6 +21,7 @@
 )
 from gentianpaddle_gateway import (
     attempt,
+    caller_responses,
     crash_watch,
     http_client,
     http_server,
@@ -34,10 +35,6 @@
 
 _logger = logging.getLogger("gentianpaddle.requests")
 
-OUTDATED_RETRY_AFTER_S = 0.5
-"""Time after which a caller should retry at a front whose state is missing or outdated. Updates
-normally arrive in a fraction of this time."""
-
 BODY_MEMORY_BYTES = 32 * 1_048_576
 """Maximum size of all bodies of servers that a front holds in memory at the same time."""
 
@@ -72,6 +69,7 @@
         self._bounds = process_settings.bounds
         self._front_count = member_view.front_count
         self._metrics = process_metrics
+        self._responses = caller_responses.CallerResponses(state, process_metrics)
         self._cold_limits = rates.ColdStartLimiter(
             process_settings.bounds.cold_rate_factor,
             process_settings.bounds.extra_cold_requests_per_s,
@@ -121,22 +119,26 @@
         head = headers.decode_request(request.headers)
         table = self._state.table
         if table is None:
-            await self._refuse(head, responder, "no_configuration", OUTDATED_RETRY_AFTER_S)
+            await self._responses.refuse(
+                head, responder, "no_configuration", caller_responses.OUTDATED_RETRY_AFTER_S
+            )
             return
         route = table.match(head.host, request.path)
         if route is None:
-            await self._deny(head, responder, 404, "unknown_route", table)
+            await self._responses.deny(head, responder, 404, "unknown_route", table)
             return
         organisation = None
         if table.keys_required and not route.public:
             found = table.organisation_by_key.get(head.api_key or "")
             if found is None:
-                await self._deny(head, responder, 401, "unknown_key", table)
+                await self._responses.deny(head, responder, 401, "unknown_key", table)
                 return
             organisation = found.id
         service = table.service_by_name.get(route.service_for(random.random()))
         if service is None:
-            await self._refuse(head, responder, "unknown_service", OUTDATED_RETRY_AFTER_S)
+            await self._responses.refuse(
+                head, responder, "unknown_service", caller_responses.OUTDATED_RETRY_AFTER_S
+            )
             return
         timeout_s = min(route.timeout_s, head.remaining_s or DEFAULT_TIMEOUT_S)
         causes = crash_watch.request_causes(request, head)
@@ -177,7 +179,7 @@
         while True:
             chosen = await self._acquire_server(context, queue, excluded)
             if isinstance(chosen, service_queue.Refusal):
-                await self._end_without_server(context, responder, chosen, last_outcome)
+                await self._responses.end_without_server(context, responder, chosen, last_outcome)
                 return
             self.crash_watch.record_send(context.causes)
             context.current_server = chosen.id
@@ -199,7 +201,7 @@
             self._record_outcome(context, chosen, outcome)
             last_outcome = outcome
             if isinstance(outcome, attempt.Served):
-                self._record_served(context, chosen, outcome)
+                self._responses.record_served(context, chosen, outcome)
                 return
             result = outcome.result if isinstance(outcome, attempt.FailureResponse) else outcome
             context.history.add(result)
@@ -207,7 +209,7 @@
                 excluded.append(chosen.id)
             step = await self._next_step(context, result)
             if not isinstance(step, attempts.Retry):
-                await self._send_failure(context, responder, step, outcome)
+                await self._responses.send_failure(context, responder, step, outcome)
                 return
 
     async def _acquire_server(
@@ -335,142 +337,6 @@
         progress = self._progress_by_service[context.service.name]
         self.crash_watch.record_loss(context, server.id, lost, progress)
 
-    def _record_served(
-        self, context: attempt.RequestContext, server: servers.ServerEntry, outcome: attempt.Served
-    ) -> None:
-        arrived_s = context.request.arrived_s
-        first_event_s = context.first_event_s or asyncio.get_running_loop().time()
-        late = first_event_s - arrived_s > context.route.target_s
-        self._metrics.count_request(context.route.name, "late" if late else "served")
-        self._metrics.observe_first_event(context.route.name, first_event_s - arrived_s)
-        log.event(
-            _logger,
-            "served",
-            logging.INFO if late else logging.DEBUG,
-            request=context.head.request_id,
-            route=context.route.name,
-            server=server.id,
-            status=outcome.status,
-            first_ms=(first_event_s - arrived_s) * 1000.0,
-            total_ms=(asyncio.get_running_loop().time() - arrived_s) * 1000.0,
-            repeats=context.history.total_attempts,
-        )
-
-    async def _end_without_server(
-        self,
-        context: attempt.RequestContext,
-        responder: http_server.Responder,
-        refusal: service_queue.Refusal,
-        last_outcome: attempt.AttemptOutcome | None,
-    ) -> None:
-        if isinstance(last_outcome, attempt.FailureResponse):
-            await self._send_failure(context, responder, attempts.ForwardError(), last_outcome)
-            return
-        if context.history.runs:
-            await self._send_failure(
-                context, responder, attempts.FailRequest(502), attempts.Lost(refusal.reason)
-            )
-            return
-        await self._refuse(
-            context.head,
-            responder,
-            refusal.reason,
-            refusal.retry_after_s,
-            context.route.name,
-            context.request.arrived_s,
-        )
-
-    async def _send_failure(
-        self,
-        context: attempt.RequestContext,
-        responder: http_server.Responder,
-        step: attempts.NextStep,
-        outcome: attempt.AttemptOutcome,
-    ) -> None:
-        name = context.route.name
-        if responder.started:
-            # An incomplete stream must not look complete: this exception resets the connection.
-            self._record_failure(context, "stream_broken", outcome)
-            raise http_server.ResponseAbortedError
-        if isinstance(step, attempts.ForwardError) and isinstance(outcome, attempt.FailureResponse):
-            self._metrics.count_request(name, "server_failure")
-            fields = headers.end_to_end_headers(outcome.head.headers)
-            await responder.respond(outcome.head.status, fields, outcome.body)
-            return
-        if isinstance(step, attempts.RejectNotRun):
-            reason = getattr(outcome, "reason", "refused")
-            await self._refuse(
-                context.head, responder, reason, 0.1, name, context.request.arrived_s
-            )
-            return
-        status = step.status if isinstance(step, attempts.FailRequest) else 502
-        self._record_failure(context, f"status_{status}", outcome)
-        await responder.respond(status, [], b"")
-
-    def _record_failure(
-        self, context: attempt.RequestContext, outcome_name: str, outcome: attempt.AttemptOutcome
-    ) -> None:
-        self._metrics.count_request(context.route.name, "failed")
-        log.event(
-            _logger,
-            "failed",
-            logging.WARNING,
-            request=context.head.request_id,
-            route=context.route.name,
-            outcome=outcome_name,
-            reason=getattr(outcome, "reason", None),
-            sends=context.history.total_attempts,
-            runs=context.history.runs,
-            after_ms=(asyncio.get_running_loop().time() - context.request.arrived_s) * 1000.0,
-        )
-
-    async def _deny(
-        self,
-        head: headers.RequestHead,
-        responder: http_server.Responder,
-        status: int,
-        reason: str,
-        table: routes.RoutingTable,
-    ) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if not self._state.is_current(now_s):
-            await self._refuse(head, responder, f"{reason}_uncertain", OUTDATED_RETRY_AFTER_S)
-            return
-        self._metrics.count_request("", reason)
-        log.event(
-            _logger,
-            "denied",
-            request=head.request_id,
-            status=status,
-            reason=reason,
-            version=table.version,
-            store_age_s=self._state.answer_age_s(now_s),
-        )
-        await responder.respond(status, [], b"")
-
-    async def _refuse(
-        self,
-        head: headers.RequestHead,
-        responder: http_server.Responder,
-        reason: str,
-        retry_after_s: float,
-        route: str = "",
-        arrived_s: float | None = None,
-    ) -> None:
-        self._metrics.count_request(route, "refused")
-        now_s = asyncio.get_running_loop().time()
-        log.event(
-            _logger,
-            "refused",
-            request=head.request_id,
-            route=route,
-            reason=reason,
-            retry_after_s=retry_after_s,
-            after_ms=(now_s - arrived_s) * 1000.0 if arrived_s is not None else 0.0,
-            version=self._state.table.version if self._state.table is not None else None,
-        )
-        await responder.respond(503, [headers.encode_retry_after(retry_after_s)], b"")
-
     def _queue(self, service: routes.ServiceName) -> service_queue.ServiceQueue:
         queue = self._queue_by_service.get(service)
         if queue is None:
--- a/packages/gateway/tests/test_crash_watch.py
+++ b/packages/gateway/tests/test_crash_watch.py
@@ -9,7 +9,7 @@
 from gentianpaddle_platform_standins import front_system, replica
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import crash_suspects
+from gentianpaddle_core.serving import crash_records
 from gentianpaddle_gateway import crash_messages
 
 
@@ -73,15 +73,15 @@
 
 def test_message_is_decoded_as_it_was_encoded() -> None:
     """Guards against fronts that misread each other's crashes."""
-    crash = crash_suspects.Crash(
+    crash = crash_records.Crash(
         ids.BackendServerId("s"),
         7.0,
-        starting={crash_suspects.Cause("a")},
-        waiting={crash_suspects.Cause("b")},
-        fingerprints={crash_suspects.Cause("f")},
-        innocent={crash_suspects.Cause("b")},
+        starting={crash_records.Cause("a")},
+        waiting={crash_records.Cause("b")},
+        fingerprints={crash_records.Cause("f")},
+        innocent={crash_records.Cause("b")},
     )
-    message = crash_messages.CrashMessage([crash], [crash_suspects.Cause("a")])
+    message = crash_messages.CrashMessage([crash], [crash_records.Cause("a")])
     assert crash_messages.decode(crash_messages.encode(message, 9.0), 9.0) == message
 
 
