--- a/packages/core/tests/test_crash_suspects.py
+++ b/packages/core/tests/test_crash_suspects.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import random
+import typing
 
 import pytest
 
@@ -164,85 +165,110 @@
 REPLAY_S = 30.0
 
 
-@pytest.mark.parametrize("seed", range(8))
-@pytest.mark.parametrize(("fronts", "engines", "rate_per_s"), [(8, 16, 36.0), (31, 72, 134.0)])
-def test_replay_of_a_fatal_prompt_part(
-    fronts: int, engines: int, rate_per_s: float, seed: int
-) -> None:
-    """Guards against an outage of the group for each request with a fatal part.
+class Replay:
+    """Fronts and engines on a day with a fatal prompt part.
+
+    From second 4 on, 25 of 1,000 requests hold the fatal part. They share their first parts with
+    sound requests and arrive at any front. When a rank crashes, nothing begins for 4 s.
 
-    From second 4, 5 of 100 requests of one kind hold the fatal part. They share their first parts
-    with sound requests and arrive at any front. When a rank crashes, nothing begins for 4 s.
+    Args:
+        fronts: Number of fronts.
+        engines: Number of engines.
+        rate_per_s: Requests per second.
+        seed: Seed of the random choices.
     """
-    rng = random.Random(seed)
-    suspects = [crash_suspects.CrashSuspects() for _ in range(fronts)]
-    waiting: list[tuple[int, crash_records.RequestCauses]] = []
-    crashes: list[float] = []
-    answered: set[crash_records.Cause] = set()
-    sound = refused = 0
-    open_s = 0.0
-    events: list[tuple[float, int, str, tuple[object, ...]]] = []
-    order = 0
-
-    def schedule(at_s: float, kind: str, *payload: object) -> None:
-        nonlocal order
-        order += 1
-        heapq.heappush(events, (at_s, order, kind, payload))
-
-    def start(front: int, request: crash_records.RequestCauses, at_s: float) -> None:
-        nonlocal refused
-        if suspects[front].held(request, at_s) is not None:
-            refused += at_s > 10.0 and "fatal" not in request.parts
+
+    def __init__(self, fronts: int, engines: int, rate_per_s: float, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._engines, self._rate_per_s = engines, rate_per_s
+        self._suspects = [crash_suspects.CrashSuspects() for _ in range(fronts)]
+        self._waiting: list[tuple[int, crash_records.RequestCauses]] = []
+        self._answered: set[crash_records.Cause] = set()
+        self._events: list[tuple[float, int, typing.Callable[[float], None]]] = []
+        self._scheduled = 0
+        self._open_s = 0.0
+        self.crash_times_s: list[float] = []
+        self.sound = 0
+        """Number of sound requests after second 10."""
+        self.refused = 0
+        """Number of these that were held."""
+
+    def run(self) -> None:
+        """Play the day."""
+        self._schedule(0.0, self._arrive)
+        while self._events and self._events[0][0] < REPLAY_S:
+            now_s, _, event = heapq.heappop(self._events)
+            event(now_s)
+
+    def _schedule(self, at_s: float, event: typing.Callable[[float], None]) -> None:
+        self._scheduled += 1
+        heapq.heappush(self._events, (at_s, self._scheduled, event))
+
+    def _arrive(self, now_s: float) -> None:
+        parts = [f"first-{self._random.randrange(90)}"]
+        if now_s > 4.0 and self._random.random() < 0.025:
+            parts.append("fatal")
+        else:
+            self.sound += now_s > 10.0
+        front = self._random.randrange(len(self._suspects))
+        request = causes(*parts, request=f"r{self._scheduled}")
+        if now_s < self._open_s:
+            self._waiting.append((front, request))
+        else:
+            self._start(front, request, now_s)
+        self._schedule(now_s + self._random.expovariate(self._rate_per_s), self._arrive)
+
+    def _start(self, front: int, request: crash_records.RequestCauses, sent_s: float) -> None:
+        if self._suspects[front].held(request, sent_s) is not None:
+            self.refused += sent_s > 10.0 and "fatal" not in request.parts
+            return
+        self._suspects[front].start_trial(request, sent_s)
+        self._schedule(
+            sent_s + FIRST_EVENT_S, lambda now_s: self._begin(front, request, sent_s, now_s)
+        )
+
+    def _begin(
+        self, front: int, request: crash_records.RequestCauses, sent_s: float, now_s: float
+    ) -> None:
+        if self.crash_times_s and sent_s < self.crash_times_s[-1] <= now_s:
             return
-        suspects[front].start_trial(request, at_s)
-        schedule(at_s + FIRST_EVENT_S, "begin", front, request, rng.randrange(engines), at_s)
-
-    schedule(0.0, "arrive")
-    while events and events[0][0] < REPLAY_S:
-        now_s, number, kind, payload = heapq.heappop(events)
-        if kind == "arrive":
-            parts = [f"first-{rng.randrange(90)}"]
-            if now_s > 4.0 and rng.random() < 0.025:
-                parts.append("fatal")
-            else:
-                sound += now_s > 10.0
-            front, request = rng.randrange(fronts), causes(*parts, request=f"r{number}")
-            if now_s < open_s:
-                waiting.append((front, request))
-            else:
-                start(front, request, now_s)
-            schedule(now_s + rng.expovariate(rate_per_s), "arrive")
-        elif kind == "begin":
-            front, request, engine, sent_s = payload  # type: ignore[assignment]
-            if crashes and sent_s < crashes[-1] <= now_s:
-                continue
-            if "fatal" not in request.parts:
-                suspects[front].record_answer(request, now_s)
-                answered.update(request.parts)
-                continue
-            crashes.append(now_s)
-            open_s = now_s + OUTAGE_S
-            server = f"e{engine}-{len(crashes)}"
-            for receiver in range(fronts):
-                delay_s = 0.0 if receiver == front else MESSAGE_DELAY_S
-                schedule(now_s + delay_s, "hear", receiver, server, request, now_s)
-            schedule(open_s, "open")
-        elif kind == "hear":
-            receiver, server, request, crashed_s = payload  # type: ignore[assignment]
-            known = crash_records.Crash(
-                ids.BackendServerId(server), crashed_s, starting=set(request.parts)
+        if "fatal" not in request.parts:
+            self._suspects[front].record_answer(request, now_s)
+            self._answered.update(request.parts)
+            return
+        self.crash_times_s.append(now_s)
+        server = f"e{self._random.randrange(self._engines)}-{len(self.crash_times_s)}"
+        for receiver, suspects in enumerate(self._suspects):
+            crash = crash_records.Crash(
+                ids.BackendServerId(server), now_s, starting=set(request.parts)
             )
             # A front that has seen an answer with the first part tells the others.
-            if request.parts[0] in answered:
-                known.innocent = {request.parts[0]}
-            suspects[receiver].merge([known], now_s)
-        else:
-            for each in suspects:
-                each.confirm(now_s - 2.0)
-            resumed, waiting = waiting, []
-            for front, request in resumed:
-                start(front, request, now_s)
+            crash.innocent = {part for part in request.parts if part in self._answered}
+            delay_s = 0.0 if receiver == front else MESSAGE_DELAY_S
+            self._schedule(
+                now_s + delay_s,
+                lambda heard_s, suspects=suspects, crash=crash: suspects.merge([crash], heard_s),
+            )
+        self._open_s = now_s + OUTAGE_S
+        self._schedule(self._open_s, self._open)
+
+    def _open(self, now_s: float) -> None:
+        for suspects in self._suspects:
+            suspects.confirm(now_s - 2.0)
+        resumed, self._waiting = self._waiting, []
+        for front, request in resumed:
+            self._start(front, request, now_s)
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize(("fronts", "engines", "rate_per_s"), [(8, 16, 36.0), (31, 72, 134.0)])
+def test_replay_of_a_fatal_prompt_part(
+    fronts: int, engines: int, rate_per_s: float, seed: int
+) -> None:
+    """Guards against an outage of the group for each request with a fatal part."""
+    replay = Replay(fronts, engines, rate_per_s, seed)
+    replay.run()
     # The fatal part must be known after one or two crashes.
-    assert 1 <= len(crashes) <= 2
+    assert 1 <= len(replay.crash_times_s) <= 2
     # Sound requests begin at least half as often as usual, also those with the same first part.
-    assert refused <= 0.05 * sound
+    assert replay.refused <= 0.05 * replay.sound
