Do not take a failure response to a stream as proof that its parts are harmless

Seen by reading: an engine may answer 500 or 504 to a request whose prompt it has not begun, and a fatal part in it counted as innocent from then on, so it was held at no front.

Change: for streams only an event proves innocence.

--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -56,7 +56,7 @@
     HEAD = "head"
     """Status and headers, but no event of a stream."""
     BEGUN = "begun"
-    """An event, or a complete failure or plain answer."""
+    """An event of a stream, or a complete response of another request."""
 
 
 AttemptResult = NotRun | ServerFailure | Lost
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -171,7 +171,9 @@
     context.answer_stage = attempts.AnswerStage.HEAD
     if not 200 <= response.status < 300:
         body = await connection.read_body(FAILURE_BODY_LIMIT_BYTES, memory)
-        context.record_answer_begun()
+        if context.route.kind is not routes.RouteKind.STREAMING:
+            # An engine may fail a request without having begun an answer to its prompt.
+            context.record_answer_begun()
         return FailureResponse(attempts.ServerFailure(response.status), response, body)
     if context.route.kind is routes.RouteKind.STREAMING:
         return await _relay_events(context, response, connection, responder, watch)
--- a/packages/gateway/tests/test_crash_watch.py
+++ b/packages/gateway/tests/test_crash_watch.py
@@ -57,6 +57,23 @@
     asyncio.run(scenario())
 
 
+def test_failure_of_a_stream_does_not_prove_its_parts_innocent(tmp_path: pathlib.Path) -> None:
+    """Guards against a fatal part that is used again because an engine failed a request early."""
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            for standin in running.replicas:
+                standin.fatal_part = "dead"
+                standin.pending_failures = [replica.InjectedFailure.ERROR] * 2
+            assert (await ask(running.host, "dead:5,a1:9", "failed")).status == 500
+            for standin in running.replicas:
+                standin.pending_failures.clear()
+            await ask(running.host, "dead:5,b1:9", "fatal")
+            assert (await ask(running.host, "dead:5,c1:9", "held")).status == 503
+
+    asyncio.run(scenario())
+
+
 def test_stream_without_length_that_ends_after_its_head_is_not_complete(
     tmp_path: pathlib.Path,
 ) -> None:
