Log when an engine shows no sign of life, and how long a map change held its group

Fronts log engine_quiet and engine_heard; the coordinator logs held_ms. Decisions on requests are as before.

--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -89,6 +89,10 @@
     """Monotonic time in seconds at which the phase began."""
     version_raised: bool = False
     """Whether the version was raised because a rank declined it."""
+    hold_reported_s: float | None = None
+    """Monotonic time in seconds at which the hold of this change was first reported."""
+    held_s: float = 0.0
+    """Time in seconds for which the last change held the group, as seen in the reports."""
 
     def begin(self, layout: expert_layout.Layout, reports: Reports, now_s: float) -> None:
         """Begin a change.
@@ -101,6 +105,7 @@
         self._draw_version(reports)
         self.layout = layout
         self.version_raised = False
+        self.hold_reported_s, self.held_s = None, 0.0
         self._enter_phase(Phase.PREPARING, now_s)
 
     def next_orders(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
@@ -133,6 +138,9 @@
 
     def _enter_phase(self, phase: Phase, now_s: float) -> None:
         self.phase, self.phase_began_s = phase, now_s
+        if phase in (Phase.SWITCHING, Phase.IDLE) and self.hold_reported_s is not None:
+            self.held_s = now_s - self.hold_reported_s
+            self.hold_reported_s = None
 
     def _draw_version(self, reports: Reports) -> None:
         known_versions = [self.version]
@@ -165,6 +173,7 @@
     def _hold(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         report = reports[HOLDING_RANK]
         if report.held_pass == self.at_pass:
+            self.hold_reported_s = now_s
             self._enter_phase(Phase.ARMING, now_s)
             return self._arm(reports, now_s)
         if report.held_pass is not None or now_s - self.phase_began_s > ARM_TIMEOUT_S:
--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -159,6 +159,7 @@
             version=change.version,
             epoch=change.epoch,
             at_pass=change.at_pass,
+            held_ms=change.held_s * 1000.0,
         )
 
     def _group_members(self) -> list[members.Member]:
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -23,6 +23,7 @@
     attempt,
     caller_responses,
     crash_watch,
+    engine_checks,
     http_client,
     http_server,
     log,
@@ -64,6 +65,7 @@
         broadcast: Callable[[bytes], None],
     ) -> None:
         self.crash_watch = crash_watch.CrashWatch(broadcast, self._refuse_held)
+        self.engine_checks = engine_checks.EngineChecks()
         self._state = state
         self._server_load = server_load
         self._bounds = process_settings.bounds
@@ -274,7 +276,9 @@
             )
             return context.retry_acquired
 
-        return silence_watch.Supervision(progress, may_move)
+        return silence_watch.Supervision(
+            progress, may_move, lambda: self.engine_checks.record_answer(server.id)
+        )
 
     async def _next_step(
         self, context: attempt.RequestContext, result: attempts.AttemptResult
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -263,6 +263,7 @@
                 self._server_load.record_report(
                     entry.id, load.requests, load.group_open, load.slowness, now_s
                 )
+                self._forwarder.engine_checks.record_report(entry.id, now_s)
 
     async def _fetch_snapshot(self, member: members.Member) -> None:
         transport = http_client.PersistentTransport(f"{member.ip}:{member.port}")
@@ -350,9 +351,10 @@
                 self._state.changed.clear()
                 servers_by_address = self._state.servers.entries_by_address()
                 self._servers_by_address = servers_by_address
-                self._server_load.remove_unlisted(
-                    {entry.id for entries in servers_by_address.values() for entry in entries}
-                )
+                listed = {entry.id for entries in servers_by_address.values() for entry in entries}
+                self._server_load.remove_unlisted(listed)
+                self._forwarder.engine_checks.remove_unlisted(listed)
+            self._forwarder.engine_checks.check()
             self._forwarder.dispatch()
 
     async def _shut_down(self) -> None:
--- a/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
@@ -22,6 +22,8 @@
     may_move: Callable[[], bool]
     """Returns whether the request may go to another server now, and if so takes a retry from the
     shared budget."""
+    answered: Callable[[], None]
+    """Called when the server has sent complete events, or the whole plain answer."""
 
 
 class SilenceWatch:
@@ -75,6 +77,7 @@
         now_s = self._loop.time()
         progress = self._supervision.progress
         progress.record_progress(self._server, now_s)
+        self._supervision.answered()
         if self._started:
             progress.record_gap(now_s - self._last_progress_s)
         else:
