Answer a stream without an event shortly before its caller leaves

Cause: callers of one engine leave together, because its slots become free together. If its VM stops just before, all of them leave sooner than any check can tell that it has stopped.

A front now answers a repeatable stream that has no event 0.1 s before its caller would leave with 502, as the queue already does with 503 for a request that was not sent. The caller comes back at once. It tells nothing about the server, and no repeat is charged.

Evidence: test_caller_without_an_event_is_answered_before_it_leaves failed in both cases before.

--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -47,6 +47,9 @@
     """Whether the attempt was given up because the server said nothing."""
     closed_by_server: bool = False
     """Whether the server closed or reset the connection."""
+    caller_leaving: bool = False
+    """Whether the attempt was ended because its caller was about to leave. It tells nothing about
+    the server, and there is no time for another one."""
 
 
 class AnswerStage(enum.Enum):
@@ -171,6 +174,8 @@
     Returns:
         The next step.
     """
+    if isinstance(result, Lost) and result.caller_leaving:
+        return FailRequest(502)
     may_have_run = history.runs > 0
     may_retry = not may_have_run or (route.repeatable and history.runs < route.max_attempts)
     within_limits = remaining_s > MIN_RETRY_TIME_S and history.total_attempts < MAX_TOTAL_ATTEMPTS
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -124,10 +124,13 @@
         async with asyncio.timeout(context.remaining_s()):
             return await _forward(context, server, connection, responder, watch, memory)
     except http_client.IncompleteResponseError as error:
+        reason = watch.leave_reason
+        caller_leaving = reason is silence_watch.LeaveReason.CALLER_LEAVING
         return attempts.Lost(
-            watch.reason_left or str(error),
-            silent=watch.reason_left is not None,
+            reason.value if reason is not None else str(error),
+            silent=reason is not None and not caller_leaving,
             closed_by_server=connection.closed_by_peer,
+            caller_leaving=caller_leaving,
         )
     except event_stream.InvalidStreamError as error:
         return attempts.Lost(str(error))
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -289,6 +289,7 @@
             lambda: self.engine_checks.record_answer(server.id),
             may_repeat,
             context.caller_leaves_s,
+            lambda: context.first_event_s is not None,
             lambda: self.engine_checks.open_watches(server.id),
         )
 
@@ -327,7 +328,8 @@
         if not isinstance(result, attempts.NotRun):
             if isinstance(result, attempts.Lost):
                 self._record_loss(context, server, result)
-            self._server_load.record_result(server.id, good=False)
+            if not (isinstance(result, attempts.Lost) and result.caller_leaving):
+                self._server_load.record_result(server.id, good=False)
         elif result.misdirected:
             self._state.servers.mark_replaced(server.id)
         elif result.arrived:
--- a/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from gentianpaddle_core import ids
@@ -14,6 +15,19 @@
 """Interval between checks once the patience for a request is exceeded."""
 
 
+LEAVE_MARGIN_S = 0.1
+"""Time before the caller of a stream leaves at which it is answered if no event has arrived. The
+answer takes a few ms to the caller, and more while the front has much to do."""
+
+
+class LeaveReason(enum.Enum):
+    """Why a watch closed the connection to the server."""
+
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+    CALLER_LEAVING = "caller about to leave"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Supervision:
     """What the watch of an attempt needs to know about its service."""
@@ -29,6 +43,8 @@
     budget."""
     caller_leaves_s: Callable[[], float | None]
     """Returns the monotonic time at which the caller leaves unless an event arrives, or None."""
+    begun: Callable[[], bool]
+    """Returns whether the caller has received a part of the answer."""
     open_watches: Callable[[], set[SilenceWatch]]
     """Returns the watches of all attempts in progress at the server."""
 
@@ -63,8 +79,9 @@
         self._waiting_for_caller = False
         self._timer: asyncio.TimerHandle | None = None
         self._leave_timer: asyncio.TimerHandle | None = None
+        self._first_event_timer: asyncio.TimerHandle | None = None
         self._open_watches: set[SilenceWatch] = set()
-        self.reason_left: str | None = None
+        self.leave_reason: LeaveReason | None = None
         """Why the connection was closed by the watch, or None if it was not."""
 
     def start(self) -> None:
@@ -73,14 +90,20 @@
         self._open_watches = self._supervision.open_watches()
         self._open_watches.add(self)
         self._schedule(self._patience_s())
+        leaves_s = self._supervision.caller_leaves_s()
+        if leaves_s is not None and self._route.repeatable and not self._supervision.begun():
+            self._first_event_timer = self._loop.call_at(
+                leaves_s - LEAVE_MARGIN_S, self._leave, LeaveReason.CALLER_LEAVING
+            )
 
     def stop(self) -> None:
         """Stop to watch."""
         self._open_watches.discard(self)
         self.server_heard()
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        for timer in (self._timer, self._first_event_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._first_event_timer = None
 
     def server_unreachable(self) -> None:
         """Leave the server, which does not answer any more, if the request may be repeated.
@@ -88,15 +111,17 @@
         The request leaves at once if it may go to another server now. Otherwise it waits for a sign
         of life, but not until the caller leaves: a caller that is answered can come back.
         """
-        if self.reason_left is not None or not self._route.repeatable:
+        if self.leave_reason is not None or not self._route.repeatable:
             return
         if self._supervision.may_repeat():
-            self._leave("unreachable")
+            self._leave(LeaveReason.UNREACHABLE)
             return
         leaves_s = self._supervision.caller_leaves_s()
         if leaves_s is not None and self._leave_timer is None:
             self._leave_timer = self._loop.call_at(
-                leaves_s - request_queue.FIRST_EVENT_ALLOWANCE_S, self._leave, "unreachable"
+                leaves_s - request_queue.FIRST_EVENT_ALLOWANCE_S,
+                self._leave,
+                LeaveReason.UNREACHABLE,
             )
 
     def server_heard(self) -> None:
@@ -105,8 +130,8 @@
             self._leave_timer.cancel()
             self._leave_timer = None
 
-    def _leave(self, reason: str) -> None:
-        self.reason_left = reason
+    def _leave(self, reason: LeaveReason) -> None:
+        self.leave_reason = reason
         self._connection.close()
 
     def record_events(self) -> None:
@@ -124,6 +149,8 @@
             progress.record_first_answer(now_s - self._last_progress_s, self._prompt_tokens)
         self._started = True
         self._waiting_for_caller = True
+        if self._first_event_timer is not None:
+            self._first_event_timer.cancel()
 
     def caller_has_received(self) -> None:
         """Record that the caller has taken all events, so that the next one is waited for."""
@@ -157,6 +184,6 @@
         ):
             if not self._started:
                 progress.record_first_answer(elapsed_s, self._prompt_tokens)
-            self._leave("silent")
+            self._leave(LeaveReason.SILENT)
             return
         self._schedule(self._patience_s() - elapsed_s)
--- a/packages/gateway/tests/test_stopped_vm.py
+++ b/packages/gateway/tests/test_stopped_vm.py
@@ -194,6 +194,30 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("vm_stops"), [False, True])
+def test_caller_without_an_event_is_answered_before_it_leaves(
+    tmp_path: pathlib.Path, vm_stops: bool
+) -> None:
+    """Guards against callers that leave an engine just after its VM has stopped unnoticed.
+
+    The first event takes longer than callers wait. The VM stops 0.3 s before the caller would leave,
+    which is too short to notice it.
+    """
+
+    async def scenario() -> None:
+        async with slow_group(tmp_path) as group:
+            for engine in group.system.replicas:
+                engine.response_delay_s = 2.0 * CALLER_PATIENCE_S
+            call = asyncio.create_task(read_stream(group.system.host, "/stream/late"))
+            engine = await group.wait_for_run("/stream/late")
+            await asyncio.sleep(CALLER_PATIENCE_S - 0.3)
+            if vm_stops:
+                engine.stop_vm()
+            assert await call == SeenStream(status=502)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("path", "vm_stops", "seen"),
     [
