--- a/packages/gateway/tests/test_stopped_vm.py
+++ b/packages/gateway/tests/test_stopped_vm.py
@@ -200,8 +200,8 @@
 ) -> None:
     """Guards against callers that leave an engine just after its VM has stopped unnoticed.
 
-    The first event takes longer than callers wait. The VM stops 0.3 s before the caller would leave,
-    which is too short to notice it.
+    The first event takes longer than callers wait. The VM stops 0.3 s before the caller would
+    leave, which is too short to notice it.
     """
 
     async def scenario() -> None:
