Do not take the refusal of another request as proof that a request has not run

It can happen here: the status of a refusal was read before the id of its request. With a stand-in that runs a booking and answers with the refusal of another request, the booking ran twice (status 200, two runs); now its caller gets 502 and it runs once.

--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -166,14 +166,14 @@
     await connection.send(request.method, request.target, fields, request.body or None)
     response = await connection.read_head()
     echoed_request_id = headers.first_value(response.headers, headers.REQUEST_ID)
-    is_own_answer = echoed_request_id in (None, context.head.request_id)
-    if is_own_answer and response.status != 421:
+    if echoed_request_id not in (None, context.head.request_id):
+        return attempts.Lost(f"status {response.status} of another request")
+    if response.status != 421:
         context.head_arrived(server.id, response)
     if response.status in (421, 429, 503) and _proves_not_run(response):
         return attempts.NotRun(f"status {response.status}", misdirected=response.status == 421)
-    has_seal = headers.first_value(response.headers, headers.RESPONSE_SIGNATURE) is not None
-    if not has_seal or not is_own_answer:
-        return attempts.Lost(f"status {response.status} of another request or without a seal")
+    if headers.first_value(response.headers, headers.RESPONSE_SIGNATURE) is None:
+        return attempts.Lost(f"status {response.status} without a seal")
     if headers.first_value(response.headers, b"content-encoding") is not None:
         return attempts.Lost("encoded body is not supported")
     context.answer_stage = attempts.AnswerStage.HEAD
--- a/packages/gateway/tests/test_front_process.py
+++ b/packages/gateway/tests/test_front_process.py
@@ -28,6 +28,7 @@
         ("/look/1", "GET", ["FOREIGN"], 200, 2),
         ("/look/1", "GET", ["SHORT"], 200, 2),
         ("/look/1", "GET", ["FULL"], 200, 1),
+        ("/look/1", "GET", ["STALE_REFUSAL"], 200, 2),
         ("/book/1", "POST", [], 200, 1),
         ("/book/1", "POST", ["FULL"], 200, 1),
         ("/book/1", "POST", ["FULL", "FULL"], 503, 0),
@@ -35,6 +36,7 @@
         ("/book/1", "POST", ["SHORT"], 502, 1),
         ("/book/1", "POST", ["FOREIGN"], 502, 1),
         ("/book/1", "POST", ["ERROR"], 500, 1),
+        ("/book/1", "POST", ["STALE_REFUSAL"], 502, 1),
         ("/stream/1", "POST", [], 200, 1),
         ("/stream/1", "POST", ["TORN"], 200, 2),
         ("/stream/1", "POST", ["LOST"], 200, 2),
@@ -82,6 +84,27 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "second", ["ERROR", "FULL", "UNSEALED", "FOREIGN", "STALE_REFUSAL", "LOST"]
+)
+def test_broken_stream_is_not_continued_with_an_error(tmp_path: pathlib.Path, second: str) -> None:
+    """Guards against the text of an error, or a regular end, in the middle of a broken stream."""
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            failures = [replica.InjectedFailure.TORN] + [replica.InjectedFailure[second]] * 4
+            for standin in running.replicas:
+                standin.pending_failures = failures
+            answer = await running.ask("/stream/1", "POST", b"body")
+            assert answer.status == 200
+            assert not answer.complete
+            assert answer.body
+            assert front_system.WHOLE_STREAM.startswith(answer.body)
+            assert answer.body != front_system.WHOLE_STREAM
+
+    asyncio.run(scenario())
+
+
 BAD_REQUESTS = [
     (b"GET /nowhere HTTP/1.1\r\nHost: bookings.example\r\n\r\n", 404),
     (front_system.request("/look/1", key="wrong"), 401),
