--- a/packages/core/src/gentianpaddle_core/serving/server_limits.py
+++ b/packages/core/src/gentianpaddle_core/serving/server_limits.py
@@ -95,15 +95,6 @@
         self._live_read_s = -MEMBERS_REFRESH_S
         self._rank_by_server: dict[ids.BackendServerId, int] = {}
 
-    def limit_per_s(self, server: ids.BackendServerId) -> float | None:
-        """Return the last known limit of a server, or None.
-
-        Args:
-            server: The server.
-        """
-        limit = self._limit_by_server.get(server)
-        return limit.per_s if limit is not None else None
-
     def record_answer(
         self, server: ids.BackendServerId, limit_per_s: float | None, now_s: float
     ) -> bool:
@@ -156,6 +147,7 @@
             known.tokens, known.refilled_s = 0.0, told_s
         known.per_s, known.told_s, known.told_here = limit_per_s, told_s, told_here
         if changed and told_here:
+            # Due at once.
             known.published_s = told_s - REPEAT_INTERVAL_S
         return changed
 
@@ -220,6 +212,7 @@
         """
         for server in self._limit_by_server.keys() - listed:
             del self._limit_by_server[server]
+            self._rank_by_server.pop(server, None)
 
     def _rank(self, server: ids.BackendServerId, now_s: float) -> int:
         """Return the rank of this front among the live ones for a server, from 0."""
--- a/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
@@ -14,7 +14,6 @@
 RECHECK_INTERVAL_S = 0.1
 """Interval between checks once the patience for a request is exceeded."""
 
-
 LEAVE_MARGIN_S = 0.1
 """Time before the caller of a stream leaves at which it is answered if no event has arrived. The
 answer takes a few ms to the caller, and more while the front has much to do."""
@@ -131,8 +130,9 @@
             self._leave_timer = None
 
     def _leave(self, reason: LeaveReason) -> None:
-        self.leave_reason = reason
-        self._connection.close()
+        if self.leave_reason is None:
+            self.leave_reason = reason
+            self._connection.close()
 
     def record_events(self) -> None:
         """Record that complete events, or the whole plain answer, have arrived.
