--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -44,7 +44,7 @@
     runs = system.TimedRuns()
     fields = {headers.ORGANISATION.decode(): documents.ORGANISATION, **more}
     for _ in range(times):
-        runs.append(replica.RecordedRequest("7", fields, path, b""))
+        runs.append(replica.RecordedRequest("7", fields, path, b"", arrived_s=0.0))
     standin = replica.ReplicaStandin("i-1")
     return system.Server(standin, None, runs)  # type: ignore[arg-type]
 
