--- a/review/harness.py
+++ b/review/harness.py
@@ -972,7 +972,8 @@
 
     try:
         held = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
+        # A mistake of the script must not look like a broken rule.
         record.say("could not run:", repr(error))
         sys.exit(2)
     record.say("rule held" if held else "RULE BROKEN")
