--- a/review/harness.py
+++ b/review/harness.py
@@ -22,6 +22,7 @@
 import tomllib
 import typing
 import urllib.parse
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -661,6 +662,10 @@
     error: str = ""
 
 
+_callers: weakref.WeakSet[Caller] = weakref.WeakSet()
+"""Callers whose connections are closed at the end of the case."""
+
+
 class Caller:
     """One connection of a client.
 
@@ -671,6 +676,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader, self._writer = reader, writer
+        _callers.add(self)
 
     @classmethod
     async def connect(cls, address: str) -> Caller:
@@ -914,6 +920,8 @@
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
+        for caller in list(_callers):
+            caller.close()
         for front in self.fronts:
             await front.kill()
         for replica in self.replicas:
@@ -967,12 +975,16 @@
     record.say("disruption:", "yes" if TROUBLE else "no")
 
     async def run() -> bool:
+        # Whoever stops the script early must not leave its processes behind.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(115.0):
             return await case(record)
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         # A mistake of the script must not look like a broken rule.
         record.say("could not run:", repr(error))
         sys.exit(2)
