--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -47,9 +47,9 @@
     """Whether the attempt was given up because the server said nothing."""
     closed_by_server: bool = False
     """Whether the server closed or reset the connection."""
-    caller_leaving: bool = False
-    """Whether the attempt was ended because its caller was about to leave. It tells nothing about
-    the server, and there is no time for another one."""
+    out_of_time: bool = False
+    """Whether this process ended the attempt because its caller was about to leave, or because the
+    process stops. It tells nothing about the server, and there is no time for another one."""
 
 
 class AnswerStage(enum.Enum):
@@ -174,7 +174,7 @@
     Returns:
         The next step.
     """
-    if isinstance(result, Lost) and result.caller_leaving:
+    if isinstance(result, Lost) and result.out_of_time:
         return FailRequest(502)
     may_have_run = history.runs > 0
     may_retry = not may_have_run or (route.repeatable and history.runs < route.max_attempts)
--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -106,6 +106,16 @@
         self._started_count += 1
         self._entries.remove(waiting)
 
+    def limit_end(self, end_s: float) -> None:
+        """Give up the queued requests that cannot be served until a time.
+
+        Args:
+            end_s: Monotonic time in seconds at which all work ends.
+        """
+        latest_start_s = self.latest_start_s(end_s, None)
+        for entry in self._entries:
+            entry.end_s = min(entry.end_s, latest_start_s)
+
     def pop_expired(self, now_s: float) -> list[QueuedRequest[T]]:
         """Remove and return the requests that are no longer worth starting.
 
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -127,12 +127,15 @@
             return await _forward(context, server, connection, responder, watch, memory)
     except http_client.IncompleteResponseError as error:
         reason = watch.leave_reason
-        caller_leaving = reason is silence_watch.LeaveReason.CALLER_LEAVING
+        out_of_time = reason in (
+            silence_watch.LeaveReason.CALLER_LEAVING,
+            silence_watch.LeaveReason.STOPPING,
+        )
         return attempts.Lost(
             reason.value if reason is not None else str(error),
-            silent=reason is not None and not caller_leaving,
+            silent=reason is not None and not out_of_time,
             closed_by_server=connection.closed_by_peer,
-            caller_leaving=caller_leaving,
+            out_of_time=out_of_time,
         )
     except event_stream.InvalidStreamError as error:
         return attempts.Lost(str(error))
--- a/packages/gateway/src/gentianpaddle_gateway/channel.py
+++ b/packages/gateway/src/gentianpaddle_gateway/channel.py
@@ -103,6 +103,15 @@
         """Whether there are received bytes that have not been read."""
         return bool(self._buffer)
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether there are bytes to be sent that the kernel has not taken yet."""
+        return (
+            self._transport is not None
+            and not self.closed
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     async def read(self) -> bytes:
         """Wait for bytes and return all that have been received.
 
--- a/packages/gateway/src/gentianpaddle_gateway/engine_checks.py
+++ b/packages/gateway/src/gentianpaddle_gateway/engine_checks.py
@@ -41,6 +41,12 @@
         """
         return self._watches_by_server.setdefault(server, set())
 
+    def end_attempts(self) -> None:
+        """Leave all servers because this process stops."""
+        for watches in self._watches_by_server.values():
+            for watch in watches:
+                watch.process_stops()
+
     def record_report(self, server: ids.BackendServerId, now_s: float) -> None:
         """Record a load message of an engine.
 
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Collection
 
@@ -14,6 +15,7 @@
     event_stream,
     members,
     placement,
+    planned_stop,
     rates,
     routes,
     servers,
@@ -43,6 +45,10 @@
 DEFAULT_TIMEOUT_S = 30.0
 """Time-out of a request without a deadline."""
 
+STOPPING_RETRY_AFTER_S = 0.0
+"""Time after which a caller that is refused because this front stops may retry. Other fronts can
+serve it at once."""
+
 
 class Forwarder:
     """Forwards the requests of callers at one front to backend servers.
@@ -83,6 +89,7 @@
         self._budget_by_service: dict[routes.ServiceName, rates.RetryBudget] = {}
         self._body_memory = http_client.BodyMemory(BODY_MEMORY_BYTES)
         self._progress_by_service: dict[routes.ServiceName, silence.ServiceProgress] = {}
+        self._stop: planned_stop.PlannedStop | None = None
 
     def limits(self) -> routes.ClientLimits:
         """Return the limits for callers that are in force."""
@@ -114,6 +121,23 @@
         for queue in self._queue_by_service.values():
             queue.dispatch()
 
+    def begin_stop(self, stop: planned_stop.PlannedStop) -> None:
+        """Refuse the requests that cannot be served before the process stops.
+
+        Args:
+            stop: Times of the stop.
+        """
+        self._stop = stop
+        for queue in self._queue_by_service.values():
+            queue.limit_end(stop.work_ends_s)
+
+    def end_attempts(self) -> None:
+        """Give up all servers, so that each request in progress gets its final answer.
+
+        A stream of which the caller has received a part is cut.
+        """
+        self.engine_checks.end_attempts()
+
     def _refuse_held(self) -> None:
         for queue in self._queue_by_service.values():
             queue.refuse_held()
@@ -154,6 +178,19 @@
             )
             return
         timeout_s = min(route.timeout_s, head.remaining_s or DEFAULT_TIMEOUT_S)
+        expires_at_s = request.arrived_s + timeout_s
+        if self._stop is not None and not self._stop.takes(
+            asyncio.get_running_loop().time(), expires_at_s
+        ):
+            await self._responses.refuse(
+                head,
+                responder,
+                "stopping",
+                STOPPING_RETRY_AFTER_S,
+                route.name,
+                request.arrived_s,
+            )
+            return
         causes = crash_watch.request_causes(request, head)
         context = attempt.RequestContext(
             request=request,
@@ -166,7 +203,7 @@
             route=route,
             service=service,
             organisation=organisation,
-            expires_at_s=request.arrived_s + timeout_s,
+            expires_at_s=expires_at_s,
             reader=event_stream.EventReader(head.last_event_id),
         )
         try:
@@ -235,6 +272,9 @@
         excluded: Collection[ids.BackendServerId],
     ) -> servers.ServerEntry | service_queue.Refusal:
         """Wait for a server, or refuse a request that is suspected of crashing servers."""
+        work_ends_s = self._stop.work_ends_s if self._stop is not None else math.inf
+        if asyncio.get_running_loop().time() >= work_ends_s:
+            return service_queue.Refusal("stopping", STOPPING_RETRY_AFTER_S)
 
         def held() -> crash_suspects.Held | None:
             return self.crash_watch.held(context.causes)
@@ -245,7 +285,7 @@
                 context.route,
                 excluded,
                 context.request.arrived_s,
-                context.expires_at_s,
+                min(context.expires_at_s, work_ends_s),
                 context.caller_leaves_s(),
                 lambda: held() is not None,
             )
@@ -342,7 +382,7 @@
         if not isinstance(result, attempts.NotRun):
             if isinstance(result, attempts.Lost):
                 self._record_loss(context, server, result)
-            if not (isinstance(result, attempts.Lost) and result.caller_leaving):
+            if not (isinstance(result, attempts.Lost) and result.out_of_time):
                 self._server_load.record_result(server.id, good=False)
         elif result.misdirected:
             self._state.servers.mark_replaced(server.id)
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -9,7 +9,14 @@
 import time
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import collectors, members, placement, routes, servers
+from gentianpaddle_core.serving import (
+    collectors,
+    members,
+    placement,
+    planned_stop,
+    routes,
+    servers,
+)
 from gentianpaddle_gateway import (
     background_tasks,
     crash_messages,
@@ -41,7 +48,7 @@
 of it from the directory."""
 
 SHUTDOWN_MARGIN_S = 0.6
-"""Margin between the end of a shutdown and SIGKILL."""
+"""Margin between the end of a shutdown and SIGKILL; less than `planned_stop.ANSWER_MARGIN_S`."""
 
 OUTDATED_LIMIT_S = 0.4
 """Time for which a front that is behind another one waits for the store before it fetches the
@@ -369,16 +376,32 @@
         Returns `SHUTDOWN_MARGIN_S` before the process would receive SIGKILL at the latest.
         """
         loop = asyncio.get_running_loop()
-        stop_by_s = loop.time() + self._settings.bounds.grace_s - SHUTDOWN_MARGIN_S
-        log.event(_logger, "leaving", in_progress=self._caller_server.in_progress)
+        grace_s = self._settings.bounds.grace_s
+        stop = planned_stop.new_planned_stop(loop.time(), grace_s)
+        exit_by_s = loop.time() + grace_s - SHUTDOWN_MARGIN_S
+        log.event(
+            _logger,
+            "leaving",
+            in_progress=self._caller_server.in_progress,
+            work_ms=(stop.work_ends_s - loop.time()) * 1000.0,
+        )
         self._caller_server.draining = True
+        self._forwarder.begin_stop(stop)
         self._send_heartbeat(to_each=True)
         await asyncio.sleep(0.1)
         self._send_heartbeat(to_each=True)
         await self._registration.deregister()
-        await asyncio.sleep(SHUTDOWN_LISTEN_S)
+        await asyncio.sleep(min(SHUTDOWN_LISTEN_S, stop.work_ends_s - loop.time()))
         self._caller_server.stop_listening()
-        while self._caller_server.in_progress and loop.time() < stop_by_s:
+        self._caller_server.close_idle_connections()
+        while self._caller_server.busy and loop.time() < stop.work_ends_s:
+            await asyncio.sleep(0.05)
+        if self._caller_server.busy:
+            in_progress = self._caller_server.in_progress
+            log.event(_logger, "work_ended", logging.WARNING, in_progress=in_progress)
+        while self._caller_server.busy and loop.time() < exit_by_s:
+            # An attempt may still be connecting to its server, so this is repeated.
+            self._forwarder.end_attempts()
             await asyncio.sleep(0.05)
 
 
--- a/packages/gateway/src/gentianpaddle_gateway/http_server.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_server.py
@@ -118,8 +118,11 @@
         self.limits = limits
         self.draining = False
         """Whether responses ask callers to close their connections."""
+        self.keeps_idle = True
+        """Whether connections stay open while there is no request on them."""
         self.in_progress = 0
         """Number of requests that have been read and not yet answered."""
+        self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -136,16 +139,29 @@
         )
 
     def _accept(self, byte_channel: channel.Channel) -> None:
-        connection = _Connection(self, byte_channel)
+        connection = _Connection(self, byte_channel, self._connections.discard)
+        self._connections.add(connection)
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being received, is in progress, or its answer is being sent."""
+        return any(connection.busy for connection in self._connections)
+
     def stop_listening(self) -> None:
         """Stop accepting connections. Open connections are not affected."""
         if self._server is not None:
             self._server.close()
 
+    def close_idle_connections(self) -> None:
+        """Close connections without a request now, and the others after their requests."""
+        self.keeps_idle = False
+        for connection in list(self._connections):
+            if not connection.busy:
+                connection.close()
+
 
 class ResponseAbortedError(Exception):
     """A handler cannot complete a response that it has started, so the connection is reset."""
@@ -159,18 +175,34 @@
 class _Connection:
     """Connection of one caller."""
 
-    def __init__(self, server: Server, byte_channel: channel.Channel) -> None:
+    def __init__(
+        self,
+        server: Server,
+        byte_channel: channel.Channel,
+        on_closed: Callable[[_Connection], None],
+    ) -> None:
         self._server = server
         self._channel = byte_channel
+        self._on_closed = on_closed
+        self._in_request = False
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
         )
         self._handler_task: asyncio.Task[None] | None = None
-        byte_channel.on_closed = self._cancel_handler
+        byte_channel.on_closed = self._handle_close
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being received, is in progress, or its answer is being sent."""
+        return self._in_request or self._channel.has_unread_data or self._channel.has_unsent_data
+
+    def close(self) -> None:
+        self._channel.close()
 
-    def _cancel_handler(self) -> None:
+    def _handle_close(self) -> None:
         if self._handler_task is not None:
             self._handler_task.cancel()
+        self._on_closed(self)
 
     def with_connection_header(self, fields: list[headers.Header]) -> list[headers.Header]:
         return [*fields, (b"connection", b"close")] if self._server.draining else fields
@@ -182,6 +214,7 @@
         try:
             while await self._serve_request():
                 self._parser.start_next_cycle()
+                self._in_request = False
         except channel.ChannelClosedError:
             pass
         except _RejectedRequestError as rejection:
@@ -191,6 +224,7 @@
             _logger.exception("connection_failed")
             self._channel.abort()
         finally:
+            self._in_request = False
             self._channel.close()
 
     async def _serve_request(self) -> bool:
@@ -230,9 +264,14 @@
         try:
             async with idle_timeout:
                 if not self._parser.trailing_data[0]:
-                    self._receive(await self._channel.read())
+                    if not self._server.keeps_idle and not self._channel.has_unread_data:
+                        return None
+                    data = await self._channel.read()
+                    self._in_request = True
+                    self._receive(data)
         except TimeoutError:
             return None
+        self._in_request = True
         loop = asyncio.get_running_loop()
         arrived_s = loop.time()
         try:
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -180,6 +180,15 @@
             else:
                 first.item.assigned_server.set_result(chosen)
 
+    def limit_end(self, end_s: float) -> None:
+        """Refuse the queued requests that cannot be served until a time.
+
+        Args:
+            end_s: Monotonic time in seconds at which all work ends.
+        """
+        self._queue.limit_end(end_s)
+        self.dispatch()
+
     def refuse_held(self) -> None:
         """Refuse the queued requests that may no longer be sent to any server."""
         self._refuse(self._queue.pop_items(lambda item: item.is_held()))
--- a/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
@@ -25,6 +25,7 @@
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     CALLER_LEAVING = "caller about to leave"
+    STOPPING = "the front stops"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +124,13 @@
                 LeaveReason.UNREACHABLE,
             )
 
+    def process_stops(self) -> None:
+        """Leave the server because this process stops, whether the request may be repeated or not.
+
+        A caller that gets no event any more is better served by another front.
+        """
+        self._leave(LeaveReason.STOPPING)
+
     def server_heard(self) -> None:
         """Stay at the server, which has shown a sign of life."""
         if self._leave_timer is not None:
