--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -16,6 +16,7 @@
     planned_stop,
     routes,
     servers,
+    watch_roles,
 )
 from gentianpaddle_gateway import (
     background_tasks,
@@ -297,7 +298,7 @@
         if self._datagrams is None or self._distributor is None or self._submitter is None:
             return
         now_s = asyncio.get_running_loop().time()
-        self._set_collecting(now_s)
+        self._update_roles(now_s)
         table = self._state.table
         message = peers.encode_heartbeat(
             peers.Heartbeat(
@@ -324,9 +325,11 @@
         if self._collecting or not self._submitter.submit(message):
             self._distributor.publish([message])
 
-    def _set_collecting(self, now_s: float) -> None:
+    def _update_roles(self, now_s: float) -> None:
+        live_fronts = self._members.live_fronts(now_s)
+        self._state.set_prompt_watcher(watch_roles.is_prompt_watcher(self._member, live_fronts))
         collecting = not self._stopping.is_set() and collectors.is_collector(
-            self._member, self._members.live_fronts(now_s)
+            self._member, live_fronts
         )
         if collecting != self._collecting:
             self._collecting = collecting
--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -36,7 +36,10 @@
         """Set when servers or evacuations change; cleared by the reader."""
         self.watches: dict[str, store_watch.Watch] = {
             documents.CONFIGURATION_KIND: store_watch.Watch(
-                documents.CONFIGURATION_KIND, _ConfigurationHandler(self), store_address
+                documents.CONFIGURATION_KIND,
+                _ConfigurationHandler(self),
+                store_address,
+                prompt_wait_s=store_watch.PROMPT_CONFIGURATION_WAIT_S,
             ),
             documents.SERVERS_KIND: store_watch.Watch(
                 documents.SERVERS_KIND,
@@ -45,15 +48,18 @@
                 store_watch.WATCH_WAIT_S,
             ),
             documents.EVACUATIONS_KIND: store_watch.Watch(
-                documents.EVACUATIONS_KIND, _EvacuationsHandler(self), store_address
+                documents.EVACUATIONS_KIND,
+                _EvacuationsHandler(self),
+                store_address,
+                prompt_wait_s=store_watch.PROMPT_EVACUATIONS_WAIT_S,
             ),
         }
 
     def is_current(self, now_s: float) -> bool:
         """Return whether the state is recent enough to deny an unknown route or key permanently.
 
-        The watch of the configuration must work. Its answers are too rare to show that it does, but
-        it is reconnected when the watch of the servers is silent.
+        The watch of the configuration must work. Its answers may be too rare to show that it does,
+        but it is reconnected when another watch is silent.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -74,11 +80,20 @@
             (time_s for time_s in answer_times_s if time_s is not None), default=-math.inf
         )
 
+    def set_prompt_watcher(self, prompt: bool) -> None:
+        """Set whether this front is a prompt watcher.
+
+        Args:
+            prompt: Whether the calls of its watches end early.
+        """
+        for watch in self.watches.values():
+            watch.prompt = prompt
+
     def reconnect_watches(self, silent_kind: str) -> None:
         """Reconnect the watches other than one whose connection was found silent.
 
         A fault of the network silences several connections at the same time, and the other watches
-        would notice it only at the end of their much longer calls.
+        would notice it only at the end of their calls, which may be much longer.
 
         Args:
             silent_kind: Kind whose watch was silent.
@@ -180,7 +195,8 @@
             self._state.apply_configuration(change.object.spec, "store")
 
     def on_store_lost(self, timed_out: bool) -> None:
-        pass
+        if timed_out:
+            self._state.reconnect_watches(documents.CONFIGURATION_KIND)
 
     def on_store_answered(self) -> None:
         pass
@@ -255,7 +271,8 @@
             self._state.changed.set()
 
     def on_store_lost(self, timed_out: bool) -> None:
-        pass
+        if timed_out:
+            self._state.reconnect_watches(documents.EVACUATIONS_KIND)
 
     def on_store_answered(self) -> None:
         pass
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -24,8 +24,17 @@
 new call take less than the 5 s after which a change that follows such a fault must be known."""
 
 DEFAULT_WATCH_WAIT_S = 20.0
-"""Maximum wait of a call of the other watches. Each call is charged. They are reconnected when the
-servers watch finds its connection silent."""
+"""Maximum wait of a call of the other watches, unless this front is a prompt watcher. Each call is
+charged. All watches are reconnected when one of them finds its connection silent."""
+
+PROMPT_CONFIGURATION_WAIT_S = 2.5
+"""Maximum wait of a call of the configuration watch at a prompt watcher. The end of the call, a new
+call, and 1.1 s until all other fronts know what it brings take less than the 5 s after which a
+change that follows a silent connection must be known."""
+
+PROMPT_EVACUATIONS_WAIT_S = 5.0
+"""Maximum wait of a call of the evacuations watch at a prompt watcher. Evacuations must be known
+8 s after a connection fell silent."""
 
 CONFIRMATION_WAIT_S = 0.001
 """Maximum wait of the first call of a watch after a failure. It returns at once and confirms that
@@ -76,13 +85,22 @@
         handler: Receives listings and changes.
         address: Host and port of the store.
         wait_s: Maximum time that a call waits for changes.
+        prompt_wait_s: Maximum time that a call waits at a prompt watcher; None if it is the same.
     """
 
     def __init__(
-        self, kind: str, handler: WatchHandler, address: str, wait_s: float = DEFAULT_WATCH_WAIT_S
+        self,
+        kind: str,
+        handler: WatchHandler,
+        address: str,
+        wait_s: float = DEFAULT_WATCH_WAIT_S,
+        prompt_wait_s: float | None = None,
     ) -> None:
         self.kind = kind
+        self.prompt = True
+        """Whether this front is a prompt watcher; takes effect with the next call."""
         self._wait_s = wait_s
+        self._prompt_wait_s = prompt_wait_s if prompt_wait_s is not None else wait_s
         self.transport = http_client.PersistentTransport(address)
         self.last_answer_s: float | None = None
         """Monotonic time of the last successful call; None before the first one."""
@@ -109,7 +127,9 @@
             self._watch_revision = listing.revision
             self.apply_listing(listing)
             return
-        wait_s = CONFIRMATION_WAIT_S if self._failure_count else self._wait_s
+        wait_s = self._prompt_wait_s if self.prompt else self._wait_s
+        if self._failure_count:
+            wait_s = CONFIRMATION_WAIT_S
         result = await self._store.watch(self.kind, self._watch_revision, wait_s)
         if isinstance(result, objects.Unavailable):
             await self._handle_failure(result)
--- a/packages/gateway/tests/test_store_watch.py
+++ b/packages/gateway/tests/test_store_watch.py
@@ -52,6 +52,39 @@
     asyncio.run(scenario())
 
 
+EVACUATION_LIMIT_S = 5.0
+"""Maximum delay between an evacuation and its effect."""
+
+
+@pytest.mark.parametrize(
+    ("kind", "change", "limit_s", "status"),
+    [
+        ("config", withdraw_key, CHANGE_LIMIT_S, 401),
+        ("evacuations", evacuate, EVACUATION_LIMIT_S, 503),
+        ("servers", drain_server, CHANGE_LIMIT_S, 503),
+    ],
+)
+def test_changes_take_effect_after_the_watches_of_one_kind_fell_silent(
+    tmp_path: pathlib.Path,
+    kind: str,
+    change: typing.Callable[[front_system.System], None],
+    limit_s: float,
+    status: int,
+) -> None:
+    """Guards against fronts that rely on another watch to find that this one is silent."""
+
+    async def scenario() -> None:
+        async with front_system.system(tmp_path) as running:
+            await asyncio.sleep(0.5)
+            assert running.store.silence_watches(kind)
+            await asyncio.sleep(STABILITY_WINDOW_S)
+            change(running)
+            await asyncio.sleep(limit_s)
+            assert (await running.ask("/look/1")).status == status
+
+    asyncio.run(scenario())
+
+
 def test_unknown_key_is_not_denied_while_the_configuration_cannot_be_read(
     tmp_path: pathlib.Path,
 ) -> None:
