--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -18,6 +18,9 @@
 ANSWER_BODY_LIMIT_BYTES = 4_194_304
 """Maximum size of the body of a plain answer."""
 
+BODILESS_STATUSES = (204, 205, 304)
+"""Statuses of complete answers without a body."""
+
 FAILURE_BODY_LIMIT_BYTES = 1_048_576
 """Maximum size of the body of an error response."""
 
@@ -189,6 +192,9 @@
     if context.route.kind is routes.RouteKind.STREAMING:
         return await _relay_events(context, response, connection, responder, watch)
     body = await connection.read_body(ANSWER_BODY_LIMIT_BYTES, memory)
+    if not body and _may_have_body(request, response) and not _has_framing(response):
+        # Without framing, an empty body cannot be told from a crash of the server.
+        return attempts.Lost("the answer ended after its head", closed_by_server=True)
     watch.record_events()
     context.record_answer_begun()
     context.first_event_s = asyncio.get_running_loop().time()
@@ -202,6 +208,10 @@
     )
 
 
+def _may_have_body(request: http_server.Request, response: http_client.ResponseHead) -> bool:
+    return request.method != "HEAD" and response.status not in BODILESS_STATUSES
+
+
 def _has_framing(response: http_client.ResponseHead) -> bool:
     return any(name in (b"content-length", b"transfer-encoding") for name, _ in response.headers)
 
