--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -191,21 +191,7 @@
                 request.arrived_s,
             )
             return
-        causes = crash_watch.request_causes(request, head)
-        context = attempt.RequestContext(
-            request=request,
-            causes=causes,
-            answer_began=lambda: self.crash_watch.record_answer(causes),
-            head_arrived=lambda server, answer: self.notices.record_answer(
-                server, answer, head.request_id
-            ),
-            head=head,
-            route=route,
-            service=service,
-            organisation=organisation,
-            expires_at_s=expires_at_s,
-            reader=event_stream.EventReader(head.last_event_id),
-        )
+        context = self._new_context(request, head, route, service, organisation, expires_at_s)
         try:
             await self._serve(context, responder)
         except asyncio.CancelledError:
@@ -221,6 +207,31 @@
             )
             raise
 
+    def _new_context(
+        self,
+        request: http_server.Request,
+        head: headers.RequestHead,
+        route: routes.Route,
+        service: routes.Service,
+        organisation: str | None,
+        expires_at_s: float,
+    ) -> attempt.RequestContext:
+        causes = crash_watch.request_causes(request, head)
+        return attempt.RequestContext(
+            request=request,
+            causes=causes,
+            answer_began=lambda: self.crash_watch.record_answer(causes),
+            head_arrived=lambda server, answer: self.notices.record_answer(
+                server, answer, head.request_id
+            ),
+            head=head,
+            route=route,
+            service=service,
+            organisation=organisation,
+            expires_at_s=expires_at_s,
+            reader=event_stream.EventReader(head.last_event_id),
+        )
+
     async def _serve(
         self, context: attempt.RequestContext, responder: http_server.Responder
     ) -> None:
