--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -273,6 +273,7 @@
         now_s: float,
         unreported_requests: float = 0.0,
         process_count: int = 1,
+        slot_limit: float = math.inf,
     ) -> servers.ServerEntry | None:
         """Choose a server for a request.
 
@@ -286,6 +287,8 @@
             unreported_requests: Estimated number of requests that other processes have sent to
                 these servers and that no report includes yet.
             process_count: Number of processes that read the same reports, including this one.
+            slot_limit: Mean number of slots per server that may be used; rounded up for each
+                server.
 
         Returns:
             The server, or None if no server can take the request.
@@ -301,7 +304,7 @@
         for entry in healthy or open_servers:
             load = self.load(entry.id)
             requests = load.estimated_requests(now_s)
-            capacity = entry.slots + max_queued
+            capacity = math.ceil(min(slot_limit, entry.slots)) + max_queued
             if requests >= capacity or not load.has_share(capacity, process_count, now_s):
                 continue
             score = requests * load.slowness + FAILURE_PENALTY_REQUESTS * load.failure_ratio
@@ -315,6 +318,15 @@
         weights = [max(0.0, target_level - score) for score in scores]
         return self._random.choices(available, weights)[0]
 
+    def total_requests(self, candidates: Collection[servers.ServerEntry], now_s: float) -> int:
+        """Return the estimated number of requests that some servers have now together.
+
+        Args:
+            candidates: The servers.
+            now_s: Monotonic time in seconds.
+        """
+        return sum(self.load(entry.id).estimated_requests(now_s) for entry in candidates)
+
     def any_open(
         self, candidates: Collection[servers.ServerEntry], reports_expected: bool, now_s: float
     ) -> bool:
--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -169,6 +169,21 @@
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         return by_host
 
+    @functools.cached_property
+    def target_event_gap_s_by_service(self) -> dict[ServiceName, float]:
+        """Shortest target for the gap between events of the routes of each service, in seconds.
+
+        Services whose routes state no target are missing.
+        """
+        target_s_by_service: dict[ServiceName, float] = {}
+        for route in self.routes:
+            if route.target_event_gap_s is None:
+                continue
+            for service, _ in route.weight_by_service:
+                known_s = target_s_by_service.get(service, route.target_event_gap_s)
+                target_s_by_service[service] = min(known_s, route.target_event_gap_s)
+        return target_s_by_service
+
     def match(self, host: str, path: str) -> Route | None:
         """Find the route of a request.
 
--- a/packages/core/src/gentianpaddle_core/serving/silence.py
+++ b/packages/core/src/gentianpaddle_core/serving/silence.py
@@ -15,7 +15,7 @@
 import dataclasses
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import routes
+from gentianpaddle_core.serving import pace_limit, routes
 
 TICK_S = 0.05
 """Length in seconds of the intervals in which progress is recorded; about one pass of a group."""
@@ -61,6 +61,8 @@
     """Moving average of the prompt size."""
     servers_by_tick: dict[int, set[ids.BackendServerId]] = dataclasses.field(default_factory=dict)
     """Servers that made progress, by interval."""
+    pace: pace_limit.PaceLimit = dataclasses.field(default_factory=pace_limit.PaceLimit)
+    """Limit on the running requests that follows from the gaps between events."""
 
     def record_progress(self, server: ids.BackendServerId, now_s: float) -> None:
         """Record that a server has sent an event or an answer.
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -323,9 +323,7 @@
         excluded: Collection[ids.BackendServerId],
     ) -> silence_watch.Supervision:
         """Return what decides whether a silent server is given up for another one."""
-        progress = self._progress_by_service.setdefault(
-            context.service.name, silence.ServiceProgress()
-        )
+        progress = self._progress(context.service.name)
 
         def may_move() -> bool:
             now_s = asyncio.get_running_loop().time()
@@ -430,9 +428,18 @@
                 self._cold_limits,
                 self.notices.board,
                 self._front_count,
+                self._progress(service).pace,
+                lambda: self._target_event_gap_s(service),
             )
         return queue
 
+    def _progress(self, service: routes.ServiceName) -> silence.ServiceProgress:
+        return self._progress_by_service.setdefault(service, silence.ServiceProgress())
+
+    def _target_event_gap_s(self, service: routes.ServiceName) -> float | None:
+        table = self._state.table
+        return table.target_event_gap_s_by_service.get(service) if table is not None else None
+
     def _service(self, name: routes.ServiceName) -> routes.Service:
         table = self._state.table
         found = table.service_by_name.get(name) if table is not None else None
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -5,11 +5,13 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Collection, Iterable
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    pace_limit,
     placement,
     rates,
     request_queue,
@@ -63,6 +65,8 @@
         cold_limits: Rate limits of servers in cold start.
         notice_board: What the servers say of themselves.
         front_count: Returns the number of fronts that share the servers, including this one.
+        pace: Limit on the requests that run at the service's engines.
+        target_event_gap_s: Returns the target for the gap between events, in seconds, or None.
     """
 
     def __init__(
@@ -73,7 +77,11 @@
         cold_limits: rates.ColdStartLimiter,
         notice_board: server_notices.NoticeBoard,
         front_count: Callable[[], int],
+        pace: pace_limit.PaceLimit,
+        target_event_gap_s: Callable[[], float | None],
     ) -> None:
+        self._pace = pace
+        self._target_event_gap_s = target_event_gap_s
         self._service = service
         self._server_view = server_view
         self._server_load = server_load
@@ -164,11 +172,20 @@
     def _slot_share(self, now_s: float) -> float:
         """Return this front's share of the slots of all usable servers."""
         usable_servers = self._server_view.usable(self._service().name, now_s)
-        return sum(entry.slots for entry in usable_servers) / self._front_count()
+        slot_limit = self._slot_limit(now_s)
+        return sum(min(entry.slots, slot_limit) for entry in usable_servers) / self._front_count()
+
+    def _slot_limit(self, now_s: float) -> float:
+        """Return the mean number of slots per engine with which answers are fast enough."""
+        engine, target_s = self._service().engine, self._target_event_gap_s()
+        if engine is None or target_s is None:
+            return math.inf
+        return self._pace.requests_per_engine(engine, target_s, now_s)
 
     def dispatch(self) -> None:
         """Assign servers to queued requests and refuse those that have expired."""
         now_s = asyncio.get_running_loop().time()
+        self._record_running(now_s)
         self._refuse(self._queue.pop_expired(now_s))
         while (first := self._queue.next_to_start(now_s)) is not None:
             chosen = self._choose_server(first.item.excluded, now_s)
@@ -240,6 +257,11 @@
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
         reports_load = _reports_load(service)
         unreported = self._unreported_requests(now_s) if engine is not None else 0.0
+        slot_limit = self._slot_limit(now_s)
+        if engine is not None and slot_limit < engine.slots:
+            room = pace_limit.room(slot_limit, len(candidates))
+            if self._server_load.total_requests(candidates, now_s) + unreported >= room:
+                return None
         return self._server_load.choose(
             candidates,
             excluded,
@@ -248,8 +270,18 @@
             now_s,
             unreported,
             self._front_count() if reports_load else 1,
+            slot_limit,
         )
 
+    def _record_running(self, now_s: float) -> None:
+        service = self._service()
+        if service.engine is None:
+            return
+        usable_servers = self._server_view.usable(service.name, now_s)
+        if usable_servers:
+            total = self._server_load.total_requests(usable_servers, now_s)
+            self._pace.record_running(total / len(usable_servers))
+
     def _unreported_requests(self, now_s: float) -> float:
         """Estimate the number of requests of other fronts that no server report includes yet.
 
--- a/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/silence_watch.py
@@ -152,7 +152,9 @@
         progress.record_progress(self._server, now_s)
         self._supervision.answered()
         if self._started:
-            progress.record_gap(now_s - self._last_progress_s)
+            gap_s = now_s - self._last_progress_s
+            progress.record_gap(gap_s)
+            progress.pace.record_pause(gap_s, now_s)
         else:
             progress.record_first_answer(now_s - self._last_progress_s, self._prompt_tokens)
         self._started = True
