Send no requests to a group of engines that stands still

Side processes now report that the group makes no passes, and fronts keep the requests in their queues.

--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -273,8 +273,9 @@
         for entry in self._servers_by_address.get(load.address, ()):
             # A restarted engine at the same address is a different server with a different id.
             if entry.started_ms in (0, load.started_ms):
+                accepts = load.group_open and not load.stalled
                 self._server_load.record_report(
-                    entry.id, load.requests, load.group_open, load.slowness, now_s
+                    entry.id, load.requests, accepts, load.slowness, now_s
                 )
                 self._forwarder.engine_checks.record_report(entry.id, now_s)
 
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -39,8 +39,11 @@
 alive, it registers again."""
 
 _LOAD_FORMAT = struct.Struct("!B4sHHHQ")
-"""Load of one engine: whether its group is open, its IPv4 address and port, number of requests,
-slowness in hundredths, and Unix time of its start in milliseconds."""
+"""Load of one engine: whether its group is open (0, 1, or `_STALLED`), its IPv4 address and port,
+number of requests, slowness in hundredths, and Unix time of its start in milliseconds."""
+_STALLED = 2
+"""State of a group that is open and makes no passes. Processes that do not know it take the group
+for open."""
 _LOAD_TYPE = b"L"
 """First byte of a message with the load of an engine."""
 _HEARTBEAT_TYPE = b"H"
@@ -126,6 +129,8 @@
     """Duration of its passes relative to a healthy engine; 1 is normal."""
     started_ms: int
     """Unix time of its start in milliseconds."""
+    stalled: bool = False
+    """Whether the group accepts requests but makes no passes."""
 
 
 def encode_load(load: EngineLoad) -> bytes:
@@ -139,7 +144,7 @@
     """
     host, _, port = load.address.rpartition(":")
     return _LOAD_TYPE + _LOAD_FORMAT.pack(
-        load.group_open,
+        _STALLED if load.group_open and load.stalled else load.group_open,
         socket.inet_aton(host),
         int(port),
         min(load.requests, 65_535),
@@ -161,7 +166,9 @@
         return None
     group_open, host, port, requests, slowness, started_ms = _LOAD_FORMAT.unpack_from(message, 1)
     address = f"{socket.inet_ntoa(host)}:{port}"
-    return EngineLoad(address, requests, bool(group_open), slowness / 100.0, started_ms)
+    return EngineLoad(
+        address, requests, bool(group_open), slowness / 100.0, started_ms, group_open == _STALLED
+    )
 
 
 class Heartbeat(typing.NamedTuple):
--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -9,7 +9,7 @@
 import logging
 import signal
 
-from gentianpaddle_core.serving import collectors, engine_state, members, routes
+from gentianpaddle_core.serving import collectors, engine_state, group_stall, members, routes
 from gentianpaddle_gateway import (
     background_tasks,
     coordinator,
@@ -81,6 +81,8 @@
         self._last_load: peers.EngineLoad | None = None
         self._last_sent_s = 0.0
         self._engine_answering: bool | None = None
+        self._group_stall = group_stall.GroupStall()
+        self._stalled = False
 
     async def run(self) -> None:
         """Send the engine's load, and coordinate experts if enabled, until SIGTERM."""
@@ -160,12 +162,18 @@
 
     def _send_load(self, report: engine_state.EngineReport) -> None:
         now_s = asyncio.get_running_loop().time()
+        stalled = self._group_stall.record(report, now_s)
+        if stalled != self._stalled:
+            self._stalled = stalled
+            name = "group_stalled" if stalled else "group_continues"
+            log.event(_logger, name, group=report.group, epoch=report.epoch, at=report.last_pass)
         load = peers.EngineLoad(
             self._engine_address,
             report.running + report.queued,
             report.group_accepts_requests,
             report.slowdown_factor,
             report.started_ms,
+            stalled,
         )
         if self._submitter is None or (
             load == self._last_load and now_s - self._last_sent_s < LOAD_REPEAT_INTERVAL_S
