--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -14,6 +14,8 @@
 import typing
 from collections.abc import Callable
 
+from gentianpaddle_core.serving import answer_times
+
 T = typing.TypeVar("T")
 
 DURATION_EWMA_WEIGHT = 0.05
@@ -28,8 +30,8 @@
 """Minimum time left for a request to be started, relative to the mean duration."""
 
 FIRST_EVENT_ALLOWANCE_S = 0.2
-"""Part of the latency target that an engine needs until the first event: about two passes and the
-processing of a prompt."""
+"""Minimum part of the latency target that an engine needs until the first event: about two passes
+and the processing of a prompt."""
 
 LATE_TURN_INTERVAL = 4
 """While both late requests and requests still on time wait, every n-th start goes to a late one."""
@@ -63,6 +65,8 @@
         self._entries: list[QueuedRequest[T]] = []
         self._duration_s: float | None = None
         self._started_count = 0
+        self.expected_times: answer_times.AnswerTimes | None = None
+        """Times that answers take at the present pace of the engines, or None if not known."""
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -154,8 +158,17 @@
     @property
     def duration_s(self) -> float:
         """Mean time for which a request occupies a slot, in seconds."""
+        if self.expected_times is not None:
+            return self.expected_times.duration_s
         return self._duration_s if self._duration_s is not None else INITIAL_DURATION_S
 
+    @property
+    def first_event_allowance_s(self) -> float:
+        """Time that is kept for an engine until the first event, in seconds."""
+        if self.expected_times is None:
+            return FIRST_EVENT_ALLOWANCE_S
+        return max(FIRST_EVENT_ALLOWANCE_S, self.expected_times.first_event_s)
+
     def latest_start_s(self, end_s: float, leaves_s: float | None) -> float:
         """Return the time from which a request is no longer worth starting.
 
@@ -167,7 +180,7 @@
         by_duration_s = end_s - MIN_REMAINING_RATIO * self.duration_s
         if leaves_s is None:
             return by_duration_s
-        return min(by_duration_s, leaves_s - FIRST_EVENT_ALLOWANCE_S)
+        return min(by_duration_s, leaves_s - self.first_event_allowance_s)
 
     def expected_wait_s(self, available_slots: float, expires_s: float = math.inf) -> float:
         """Return the expected wait in seconds of a request that arrives now.
--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -59,6 +59,8 @@
     """Number of tokens that fit into the engine's memory."""
     experts: ExpertLimits | None
     """Limits on expert placement, or None for an engine without experts."""
+    usual_answer_tokens: float = 0.0
+    """Mean number of tokens of an answer, or 0 if not published."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -11,6 +11,7 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    answer_times,
     pace_limit,
     placement,
     rates,
@@ -139,7 +140,7 @@
             request_queue.QueuedRequest(
                 queued,
                 arrived_s,
-                arrived_s + route.target_s - request_queue.FIRST_EVENT_ALLOWANCE_S,
+                arrived_s + route.target_s - self._queue.first_event_allowance_s,
                 latest_start_s,
                 expires_at_s,
             )
@@ -185,7 +186,7 @@
     def dispatch(self) -> None:
         """Assign servers to queued requests and refuse those that have expired."""
         now_s = asyncio.get_running_loop().time()
-        self._record_running(now_s)
+        self._update_pace(now_s)
         self._refuse(self._queue.pop_expired(now_s))
         while (first := self._queue.next_to_start(now_s)) is not None:
             chosen = self._choose_server(first.item.excluded, now_s)
@@ -273,10 +274,12 @@
             slot_limit,
         )
 
-    def _record_running(self, now_s: float) -> None:
+    def _update_pace(self, now_s: float) -> None:
         service = self._service()
         if service.engine is None:
             return
+        pause_s = self._pace.pause_s(now_s)
+        self._queue.expected_times = answer_times.at_pace(service.engine, pause_s)
         usable_servers = self._server_view.usable(service.name, now_s)
         if usable_servers:
             total = self._server_load.total_requests(usable_servers, now_s)
