Release a group of engines whose coordinator has stopped

A change of the expert map holds a pass at the rank on whose VM it is coordinated. Rank 1 now holds the pass, rank 0 is armed last, and the side process of rank 1 takes the change back when the hold lasts for 0.5 s and the coordinator's VM does not answer.

--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -4,12 +4,14 @@
 pause at any point. A change has these steps:
 
 1. Every rank prepares the new map.
-2. Rank 0 holds a pass that has not begun.
-3. Every rank is armed for that pass.
+2. Rank 1 holds a pass that has not begun.
+3. Every rank is armed for that pass, rank 0 last.
 4. The hold is released once all ranks are known to be armed.
 
 The held pass cannot begin before the release, so an interrupted change delays the group but never
-mixes maps.
+mixes maps. Rank 0's VM coordinates the change. If it stops, `Rescue` on the VM of rank 1 takes the
+change back and releases the hold. Nothing on a stopped VM can be reached, rank 0's engine neither;
+as it is armed last, it is not armed while any other rank is not.
 
 A rank can be armed only for the version that it prepared last, and versions only increase. An
 order to arm that is still in transit therefore becomes invalid once the rank has prepared a newer
@@ -27,10 +29,17 @@
 
 from gentianpaddle_core.serving import engine_state, expert_layout
 
-HOLDING_RANK = 0
-"""Rank that holds the pass. Its VM coordinates the change."""
+COORDINATING_RANK = 0
+"""Rank whose VM coordinates the change."""
 
-MIN_LEAD_PASSES = 2
+RESCUING_RANK = 1
+"""Rank that holds the pass, if the group has more than one; its VM rescues the group."""
+
+RESCUE_AFTER_S = 0.5
+"""Time after which a hold is rescued. Changes hold a group for about 0.1 s, and callers of streams
+leave after 2 s without an event."""
+
+MIN_LEAD_PASSES = 4
 """Minimum distance from the last pass that has begun to the held one. A pass takes 30 ms or more, a
 round of orders about 10 ms."""
 
@@ -94,6 +103,11 @@
     held_s: float = 0.0
     """Time in seconds for which the last change held the group, as seen in the reports."""
 
+    @property
+    def holding_rank(self) -> int:
+        """Rank that holds the pass."""
+        return min(RESCUING_RANK, self.rank_count - 1)
+
     def begin(self, layout: expert_layout.Layout, reports: Reports, now_s: float) -> None:
         """Begin a change.
 
@@ -143,12 +157,7 @@
             self.hold_reported_s = None
 
     def _draw_version(self, reports: Reports) -> None:
-        known_versions = [self.version]
-        for report in reports.values():
-            known_versions += [report.map_version, report.prepared_version or 0]
-            known_versions.append(report.armed_switch[0] if report.armed_switch else 0)
-        block = max(known_versions) // VERSION_BLOCK + 1
-        self.version = block * VERSION_BLOCK + self.rng.randrange(VERSION_BLOCK)
+        self.version = _drawn_version(reports, self.version, self.rng)
 
     def _prepare(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         missing = [
@@ -171,19 +180,19 @@
         )
 
     def _hold(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        report = reports[HOLDING_RANK]
+        report = reports[self.holding_rank]
         if report.held_pass == self.at_pass:
             self.hold_reported_s = now_s
             self._enter_phase(Phase.ARMING, now_s)
             return self._arm(reports, now_s)
-        if report.held_pass is not None or now_s - self.phase_began_s > ARM_TIMEOUT_S:
-            # Either rank 0 holds a pass that another process ordered, possibly long ago, and cannot
-            # hold a second one, or it did not hold the pass in time.
+        if _held(reports) is not None or now_s - self.phase_began_s > ARM_TIMEOUT_S:
+            # Either a rank holds a pass that another process ordered, possibly long ago, and cannot
+            # hold a second one, or the pass was not held in time.
             self._start_rollback(reports, now_s)
             return self._roll_back(reports, now_s)
         if report.last_pass >= self.at_pass:
             self._choose_pass(reports)
-        return self._order_holding_rank(engine_state.Operation.HOLD, self.at_pass)
+        return self._hold_order(self.at_pass)
 
     def _arm(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         missing = [
@@ -191,7 +200,7 @@
             for rank, report in reports.items()
             if report.armed_switch != (self.version, self.at_pass)
         ]
-        interrupted = reports[HOLDING_RANK].held_pass != self.at_pass or any(
+        interrupted = reports[self.holding_rank].held_pass != self.at_pass or any(
             reports[rank].prepared_version != self.version for rank in missing
         )
         if interrupted or now_s - self.phase_began_s > ARM_TIMEOUT_S:
@@ -203,20 +212,21 @@
         order = engine_state.Order(
             engine_state.Operation.ARM, self.epoch, version=self.version, at_pass=self.at_pass
         )
-        return dict.fromkeys(missing, order)
+        others = [rank for rank in missing if rank != COORDINATING_RANK]
+        return dict.fromkeys(others or missing, order)
 
     def _release(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        if reports[HOLDING_RANK].held_pass != self.at_pass:
+        if reports[self.holding_rank].held_pass != self.at_pass:
             self._enter_phase(Phase.SWITCHING, now_s)
             return {}
-        return self._order_holding_rank(engine_state.Operation.RELEASE, self.at_pass)
+        return _release_order(self.holding_rank, self.at_pass, self.epoch)
 
     def _switch(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
         if all(report.map_version == self.version for report in reports.values()):
             self.current_layout = self.layout
             self._enter_phase(Phase.IDLE, now_s)
-        elif reports[HOLDING_RANK].held_pass is not None or not _ranks_agree(reports):
-            # Either rank 0 holds a pass again because an earlier order was executed late, which
+        elif _held(reports) is not None or not _ranks_agree(reports):
+            # Either a rank holds a pass again because an earlier order was executed late, which
             # would block the group forever, or the ranks no longer agree on a map.
             self._start_rollback(reports, now_s)
             return self._roll_back(reports, now_s)
@@ -227,7 +237,11 @@
         self._draw_version(reports)
 
     def _roll_back(self, reports: Reports, now_s: float) -> dict[int, engine_state.Order]:
-        held_pass = reports[HOLDING_RANK].held_pass
+        if any(_newest_version(report) > self.version for report in reports.values()):
+            # Another process has begun a change since. Only a higher version than its own keeps it
+            # from arming more ranks.
+            self._draw_version(reports)
+        held = _held(reports)
         armed = next(
             (report.armed_switch for report in reports.values() if report.armed_switch is not None),
             None,
@@ -235,36 +249,20 @@
         if armed is not None and _ranks_agree(reports):
             # All ranks are armed, so the process that armed them may release the hold at any
             # time: the change must be completed.
-            if held_pass is not None:
-                return self._order_holding_rank(engine_state.Operation.RELEASE, held_pass)
+            if held is not None:
+                return _release_order(*held, self.epoch)
             self.version, self.at_pass = armed[0], max(armed[1], self.at_pass)
             self._enter_phase(Phase.SWITCHING, now_s)
             return {}
-        if armed is not None and held_pass is None:
+        if armed is not None and held is None:
             # A rank may be disarmed only while the pass for which it is armed cannot begin.
-            return self._order_holding_rank(engine_state.Operation.HOLD, armed[1])
-        unprepared_ranks = [
-            rank
-            for rank, report in reports.items()
-            if report.armed_switch is None and (report.prepared_version or 0) < self.version
-        ]
-        armed_ranks = [rank for rank, report in reports.items() if report.armed_switch is not None]
-        if armed_ranks and len(armed_ranks) + len(unprepared_ranks) == self.rank_count:
-            # Every rank is armed or can still be armed. Invalidate arming at the unarmed ranks
-            # before any rank is disarmed.
-            return dict.fromkeys(unprepared_ranks, self._prepare_order(self.current_layout))
-        orders = dict.fromkeys(unprepared_ranks, self._prepare_order(self.current_layout))
-        for rank in armed_ranks:
-            armed = reports[rank].armed_switch
-            version = armed[0] if armed is not None else 0
-            orders[rank] = engine_state.Order(
-                engine_state.Operation.DISARM, self.epoch, version=version
-            )
+            return self._hold_order(armed[1])
+        orders = _fence_orders(reports, self.version, self.epoch, self.current_layout)
         if orders:
             return orders
-        if held_pass is not None:
-            self.at_pass = max(self.at_pass, held_pass)
-            return self._order_holding_rank(engine_state.Operation.RELEASE, held_pass)
+        if held is not None:
+            self.at_pass = max(self.at_pass, held[1])
+            return _release_order(*held, self.epoch)
         self._enter_phase(Phase.IDLE, now_s)
         return {}
 
@@ -273,10 +271,9 @@
             engine_state.Operation.PREPARE, self.epoch, version=self.version, layout=layout
         )
 
-    def _order_holding_rank(
-        self, operation: engine_state.Operation, at_pass: int
-    ) -> dict[int, engine_state.Order]:
-        return {HOLDING_RANK: engine_state.Order(operation, self.epoch, at_pass=at_pass)}
+    def _hold_order(self, at_pass: int) -> dict[int, engine_state.Order]:
+        operation = engine_state.Operation.HOLD
+        return {self.holding_rank: engine_state.Order(operation, self.epoch, at_pass=at_pass)}
 
     def order_declined(self, order: engine_state.Order, now_s: float) -> None:
         """Record that a rank declined an order.
@@ -298,11 +295,98 @@
             self.version += VERSION_BLOCK
 
 
+@dataclasses.dataclass(slots=True)
+class Rescue:
+    """Takes back the change of a coordinator whose VM has stopped while a pass is held.
+
+    It works without rank 0, which cannot be reached. While all other ranks are armed, it does
+    nothing, as rank 0 may be armed or not.
+    """
+
+    epoch: int
+    rng: random.Random
+    """Random source from which versions are drawn."""
+    layout: expert_layout.Layout
+    """Any layout that the ranks can prepare without copying; it never comes into use."""
+    version: int = 0
+    """Version by which the ranks are kept from being armed for the interrupted change."""
+
+    def next_orders(self, reports: Reports) -> dict[int, engine_state.Order]:
+        """Return the next round of orders.
+
+        Args:
+            reports: Current reports of all ranks but rank 0.
+
+        Returns:
+            Orders by rank; empty if no pass is held or nothing can be done.
+        """
+        held = _held(reports)
+        if held is None or all(report.armed_switch for report in reports.values()):
+            return {}
+        if not self.version or any(_newest_version(r) > self.version for r in reports.values()):
+            self.version = _drawn_version(reports, self.version, self.rng)
+        orders = _fence_orders(reports, self.version, self.epoch, self.layout)
+        return orders or _release_order(*held, self.epoch)
+
+
+def _fence_orders(
+    reports: Reports, version: int, epoch: int, layout: expert_layout.Layout
+) -> dict[int, engine_state.Order]:
+    """Return the orders after which no rank is armed or can be armed for an older version."""
+    prepare = engine_state.Order(
+        engine_state.Operation.PREPARE, epoch, version=version, layout=layout
+    )
+    unprepared_ranks = [
+        rank
+        for rank, report in reports.items()
+        if report.armed_switch is None and (report.prepared_version or 0) < version
+    ]
+    orders = dict.fromkeys(unprepared_ranks, prepare)
+    armed_version_by_rank = {
+        rank: report.armed_switch[0]
+        for rank, report in reports.items()
+        if report.armed_switch is not None
+    }
+    if armed_version_by_rank and len(armed_version_by_rank) + len(orders) == len(reports):
+        # Every rank is armed or can still be armed. Invalidate arming at the unarmed ranks before
+        # any rank is disarmed.
+        return orders
+    for rank, armed_version in armed_version_by_rank.items():
+        orders[rank] = engine_state.Order(
+            engine_state.Operation.DISARM, epoch, version=armed_version
+        )
+    return orders
+
+
+def _release_order(rank: int, at_pass: int, epoch: int) -> dict[int, engine_state.Order]:
+    return {rank: engine_state.Order(engine_state.Operation.RELEASE, epoch, at_pass=at_pass)}
+
+
+def _drawn_version(reports: Reports, known: int, rng: random.Random) -> int:
+    versions = [known]
+    for report in reports.values():
+        versions += [report.map_version, _newest_version(report)]
+    return (max(versions) // VERSION_BLOCK + 1) * VERSION_BLOCK + rng.randrange(VERSION_BLOCK)
+
+
+def _held(reports: Reports) -> tuple[int, int] | None:
+    """Return the rank that holds a pass, and the pass, or None."""
+    for rank, report in reports.items():
+        if report.held_pass is not None:
+            return rank, report.held_pass
+    return None
+
+
 def _has_unfinished_change(reports: Reports) -> bool:
-    is_held = reports[HOLDING_RANK].held_pass is not None
+    is_held = _held(reports) is not None
     return is_held or any(report.armed_switch is not None for report in reports.values())
 
 
+def _newest_version(report: engine_state.EngineReport) -> int:
+    armed_version = report.armed_switch[0] if report.armed_switch is not None else 0
+    return max(report.prepared_version or 0, armed_version)
+
+
 def _ranks_agree(reports: Reports) -> bool:
     """Return whether all ranks use the same map or are armed for the same one at the same pass.
 
--- a/packages/core/src/gentianpaddle_core/serving/pace_limit.py
+++ b/packages/core/src/gentianpaddle_core/serving/pace_limit.py
@@ -43,7 +43,8 @@
 
     def __init__(self) -> None:
         self._pauses: collections.deque[tuple[float, float]] = collections.deque()
-        self._running: float | None = None
+        self.running: float | None = None
+        """Moving average of the running requests per engine, or None before the first value."""
 
     def record_pause(self, pause_s: float, now_s: float) -> None:
         """Record the time between two events of a stream.
@@ -61,10 +62,10 @@
         Args:
             requests_per_engine: Mean number of running requests over the engines of the service.
         """
-        if self._running is None:
-            self._running = requests_per_engine
+        if self.running is None:
+            self.running = requests_per_engine
         else:
-            self._running += MEAN_WEIGHT * (requests_per_engine - self._running)
+            self.running += MEAN_WEIGHT * (requests_per_engine - self.running)
 
     def pause_s(self, now_s: float) -> float | None:
         """Return the pause between events that counts, or None without enough measurements.
@@ -94,11 +95,11 @@
             number meets it, as then only the throughput counts.
         """
         pause_s = self.pause_s(now_s)
-        if pause_s is None or not self._running:
+        if pause_s is None or not self.running:
             return float(engine.slots)
         fixed_s = engine.steps_per_pass * engine.step_ms / 1000.0
         allowed_s = TARGET_MARGIN * target_s - fixed_s
-        per_request_s = (pause_s - fixed_s) / self._running
+        per_request_s = (pause_s - fixed_s) / self.running
         if per_request_s <= 0.0:
             return float(engine.slots)
         if per_request_s * MIN_REQUESTS > target_s - fixed_s:
--- a/packages/core/tests/test_map_change.py
+++ b/packages/core/tests/test_map_change.py
@@ -1,4 +1,4 @@
-"""Tests of map changes with lost or delayed orders and restarts of the coordinator."""
+"""Map changes with lost or delayed orders, restarts and freezes, alone and beside a rescuer."""
 
 from __future__ import annotations
 
@@ -234,3 +234,148 @@
     assert change.phase is map_change.Phase.IDLE
     assert {rank.map_version for rank in group.ranks} != {0}
     assert change.current_layout == (() if restarted else new_layout)
+
+
+MAX_FREEZE_ROUNDS = 400
+"""Longest freeze, in rounds of orders; 4 s."""
+
+
+@dataclasses.dataclass
+class Process:
+    """A process that reads the ranks one after the other, then sends orders one by one."""
+
+    group: Group
+    ranks: range
+    """Ranks that it can reach."""
+    reports: dict[int, engine_state.EngineReport] = dataclasses.field(default_factory=dict)
+    pending: list[tuple[int, engine_state.Order]] = dataclasses.field(default_factory=list)
+    frozen_until: int = 0
+
+    def act(self, freeze_probability: float) -> None:
+        """Read one rank or send one order, unless the process is frozen."""
+        rng = self.group.random
+        if self.group.round < self.frozen_until:
+            return
+        if rng.random() < freeze_probability:
+            self.frozen_until = self.group.round + rng.randrange(1, MAX_FREEZE_ROUNDS)
+        elif self.pending:
+            number, order = self.pending.pop(0)
+            if self.group.send(number, order) is False:
+                self.declined(order)
+        elif len(self.reports) < len(self.ranks):
+            number = self.ranks[len(self.reports)]
+            self.reports[number] = self.group.ranks[number].report(self.group.passes)
+        else:
+            self.pending = list(self.decide(self.group.round * ROUND_S).items())
+            self.reports = {}
+
+    def decide(self, now_s: float) -> dict[int, engine_state.Order]:
+        """Return the orders that follow from the reports."""
+        raise NotImplementedError
+
+    def declined(self, order: engine_state.Order) -> None:
+        """Learn that an order was declined."""
+
+
+@dataclasses.dataclass
+class Coordinator(Process):
+    """Process on the VM of rank 0."""
+
+    begins: bool = True
+    change: map_change.MapChange = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.restart()
+
+    def restart(self) -> None:
+        self.change = map_change.MapChange(1, RANKS, self.group.random)
+        self.pending, self.reports = [], {}
+
+    def decide(self, now_s: float) -> dict[int, engine_state.Order]:
+        unfinished = any(r.armed_switch or r.held_pass is not None for r in self.reports.values())
+        idle = self.change.phase is map_change.Phase.IDLE
+        if idle and self.begins and not unfinished and self.group.random.random() < 0.3:
+            self.change.begin(((),), self.reports, now_s)
+        return self.change.next_orders(self.reports, now_s)
+
+    def declined(self, order: engine_state.Order) -> None:
+        self.change.order_declined(order, self.group.round * ROUND_S)
+
+
+@dataclasses.dataclass
+class Rescuer(Process):
+    """Process on the VM of rank 1; it does not wait until a hold has lasted for long."""
+
+    rescue: map_change.Rescue | None = None
+
+    def decide(self, now_s: float) -> dict[int, engine_state.Order]:
+        if all(report.held_pass is None for report in self.reports.values()):
+            self.rescue = None
+            return {}
+        if self.rescue is None:
+            self.rescue = map_change.Rescue(1, self.group.random, ((),))
+        return self.rescue.next_orders(self.reports)
+
+
+def new_processes(group: Group) -> tuple[Coordinator, Rescuer]:
+    return Coordinator(group, range(RANKS)), Rescuer(group, range(1, RANKS))
+
+
+@pytest.mark.parametrize(
+    ("lost", "freezes", "restarts"),
+    [
+        (0.0, 0.02, 0.0),
+        (0.0, 0.2, 0.0),
+        (0.2, 0.02, 0.0),
+        (0.4, 0.05, 0.0),
+        (0.0, 0.02, 0.01),
+        (0.3, 0.05, 0.01),
+    ],
+)
+@pytest.mark.parametrize("seed", range(20))
+def test_no_pass_mixes_maps_beside_a_rescuer(
+    lost: float, freezes: float, restarts: float, seed: int
+) -> None:
+    """Guards against two maps in one pass when a change is taken back for a frozen coordinator.
+
+    Each process may freeze between any two steps and continues with reports that are no longer
+    true. When nothing freezes any more and no order is lost, no hold may remain.
+    """
+    group = Group(seed, lost)
+    coordinator, rescuer = new_processes(group)
+    for _ in range(3_000):
+        if group.random.random() < restarts:
+            coordinator.restart()
+        coordinator.act(freezes)
+        rescuer.act(freezes)
+        group.advance()
+    group.loss_ratio = 0.0
+    coordinator.begins = False
+    for _ in range(2_000):
+        coordinator.act(0.0)
+        if group.round % 400 < 200:
+            rescuer.act(0.0)
+        group.advance()
+    assert all(rank.held is None and rank.armed is None for rank in group.ranks)
+
+
+@pytest.mark.parametrize("orders_before_freeze", range(14))
+def test_a_frozen_coordinator_does_not_hold_the_group(orders_before_freeze: int) -> None:
+    """Guards against a group that is held for as long as the VM of its coordinator stands still.
+
+    The coordinator freezes for good after a number of orders of its first change. Only while all
+    other ranks are armed may the hold last, as rank 0 may be armed too.
+    """
+    group = Group(1, 0.0)
+    coordinator, rescuer = new_processes(group)
+    sent = 0
+    while sent < orders_before_freeze:
+        before = len(coordinator.pending)
+        coordinator.act(0.0)
+        sent += len(coordinator.pending) < before
+        group.advance()
+    all_armed = all(rank.armed is not None for rank in group.ranks[1:])
+    for _ in range(100):
+        rescuer.act(0.0)
+        group.advance()
+    assert all_armed or all(rank.held is None for rank in group.ranks)
--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -16,7 +16,7 @@
     rank_sample,
     routes,
 )
-from gentianpaddle_gateway import engine_client, log, side_calls
+from gentianpaddle_gateway import engine_client, group_rescue, log, side_calls
 from gentianpaddle_platform import engines
 
 _logger = logging.getLogger("gentianpaddle.experts")
@@ -58,6 +58,7 @@
         self._member_view = member_view
         self._engine = engine
         self._calls = calls
+        self._rescue = group_rescue.GroupRescue(member_view, calls)
         self._member_by_rank: dict[int, members.Member] = {}
         self._reports: dict[int, engine_state.EngineReport] = {}
         self._change: map_change.MapChange | None = None
@@ -79,7 +80,7 @@
             report = engines.decode_report(await self._engine.read_report())
             is_coordinator = (
                 report is not None
-                and report.rank == map_change.HOLDING_RANK
+                and report.rank == map_change.COORDINATING_RANK
                 and report.group is not None
                 and report.group_accepts_requests
                 and self.expert_shape is not None
@@ -87,6 +88,8 @@
             self.active = is_coordinator
             if not is_coordinator or report is None:
                 self._change = None
+                if report is not None:
+                    await self._rescue.check(report, self.expert_shape)
                 await asyncio.sleep(STANDBY_INTERVAL_S)
                 continue
             if self._change is None or self._group_and_epoch != (report.group, report.epoch):
@@ -238,18 +241,7 @@
         self, change: map_change.MapChange, orders: dict[int, engine_state.Order]
     ) -> None:
         """Send a round of orders and update the reports from the answers."""
-        # Most orders of a round are the same object, and a map is large: encode each order once.
-        body_by_order_id = {id(order): engines.encode_order(order) for order in orders.values()}
-        calls = [
-            side_calls.Call(
-                self._member_by_rank[rank],
-                engine_client.ORDERS_TARGET,
-                body_by_order_id[id(order)],
-                engine_fallback=True,
-            )
-            for rank, order in orders.items()
-        ]
-        states = await self._calls.call_all(calls)
+        states = await self._calls.call_all(side_calls.order_calls(orders, self._member_by_rank))
         now_s = asyncio.get_running_loop().time()
         for (rank, order), state in zip(orders.items(), states, strict=True):
             if not isinstance(state.order_result, engine_state.Accepted):
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import logging
 import math
 import random
 from collections.abc import Callable, Collection, Iterable
@@ -20,6 +21,7 @@
     server_notices,
     servers,
 )
+from gentianpaddle_gateway import log
 
 ENGINE_QUEUE_LIMIT = 0
 """Number of requests beyond its slots that are sent to an engine. Further requests would be queued
@@ -32,10 +34,15 @@
 DISPATCH_INTERVAL_S = 0.05
 """Maximum interval between attempts to dispatch queued requests."""
 
+LOG_INTERVAL_S = 1.0
+"""Minimum interval between two log lines of the same kind while a limit is in force."""
+
 RATE_WINDOW_S = 1.0
 """Length of the window in which the request rate is measured. A front of a large site gets four
 requests per second."""
 
+_logger = logging.getLogger("gentianpaddle.requests")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -83,6 +90,8 @@
     ) -> None:
         self._pace = pace
         self._target_event_gap_s = target_event_gap_s
+        self._limited = False
+        self._limit_logged_s = 0.0
         self._service = service
         self._server_view = server_view
         self._server_load = server_load
@@ -280,6 +289,20 @@
             return
         pause_s = self._pace.pause_s(now_s)
         self._queue.expected_times = answer_times.at_pace(service.engine, pause_s)
+        limit = self._slot_limit(now_s)
+        limited = limit < service.engine.slots
+        if limited != self._limited or (limited and now_s - self._limit_logged_s > LOG_INTERVAL_S):
+            self._limited, self._limit_logged_s = limited, now_s
+            log.event(
+                _logger,
+                "pace_limit",
+                service=service.name,
+                limited=limited,
+                slots_per_engine=limit,
+                pause_ms=(pause_s or 0.0) * 1000.0,
+                running_per_engine=self._pace.running,
+                waiting=len(self._queue),
+            )
         usable_servers = self._server_view.usable(service.name, now_s)
         if usable_servers:
             total = self._server_load.total_requests(usable_servers, now_s)
--- a/packages/gateway/src/gentianpaddle_gateway/side_calls.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_calls.py
@@ -14,12 +14,12 @@
 import logging
 import typing
 import zlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import engine_state, members
 from gentianpaddle_gateway import engine_client, http_client, http_server, log
-from gentianpaddle_platform import decoding, objects
+from gentianpaddle_platform import decoding, engines, objects
 
 _logger = logging.getLogger("gentianpaddle.experts")
 
@@ -54,6 +54,35 @@
     engine_fallback: bool
     """Whether the engine is called directly if its side process does not answer. Calls to an engine
     from another VM are charged."""
+    to_engine: bool = False
+    """Whether the engine is called without its side process, and never through a relay."""
+
+
+def order_calls(
+    orders: Mapping[int, engine_state.Order], member_by_rank: Mapping[int, members.Member]
+) -> list[Call]:
+    """Return the calls that send a round of orders, in the order of the ranks given.
+
+    A hold and its release go straight to the engine: the VM that holds the pass and the one that
+    decides on its release are then never the same, so that either may stop.
+
+    Args:
+        orders: Orders by rank.
+        member_by_rank: VM of each rank.
+    """
+    # Most orders of a round are the same object, and a map is large: encode each order once.
+    body_by_order_id = {id(order): engines.encode_order(order) for order in orders.values()}
+    straight = (engine_state.Operation.HOLD, engine_state.Operation.RELEASE)
+    return [
+        Call(
+            member_by_rank[rank],
+            engine_client.ORDERS_TARGET,
+            body_by_order_id[id(order)],
+            engine_fallback=True,
+            to_engine=order.operation in straight,
+        )
+        for rank, order in orders.items()
+    ]
 
 
 def relay_timeout_s(calls: int) -> float:
@@ -143,8 +172,10 @@
         member = call.member
         if member.vm == self._own.vm:
             return await self._engine.execute(call.target, call.body)
-        body = await self._send(member, call.target, call.body, SIDE_TIMEOUT_S)
-        state = _decode_state(body) if body is not None else None
+        state = None
+        if not call.to_engine:
+            body = await self._send(member, call.target, call.body, SIDE_TIMEOUT_S)
+            state = _decode_state(body) if body is not None else None
         if state is not None:
             return state
         if not call.engine_fallback or member.engine_address is None:
--- a/packages/gateway/tests/test_side_process.py
+++ b/packages/gateway/tests/test_side_process.py
@@ -122,6 +122,30 @@
     asyncio.run(run_scenario(tmp_path, scenario))
 
 
+def test_stopped_coordinator_does_not_hold_the_group(tmp_path: pathlib.Path) -> None:
+    """Guards against a group that is held for as long as its coordinator stands still.
+
+    The side process of rank 0 is stopped as soon as the group is held, and continues later.
+    """
+
+    async def scenario(group: Group) -> None:
+        group.engines.hold_accepted.clear()
+        group.engines.most_chosen_expert = 1
+        await asyncio.wait_for(group.engines.hold_accepted.wait(), WAIT_LIMIT_S)
+        group.processes[0].send_signal(signal.SIGSTOP)
+        await group.until(
+            lambda: "event=group_rescued" in group.log(1) or holder_count(group, 1) >= 3
+        )
+        before = group.engines.last_pass
+        await group.until(lambda: group.engines.last_pass > before + 5)
+        group.processes[0].send_signal(signal.SIGCONT)
+        group.engines.most_chosen_expert = 6
+        await group.until(lambda: holder_count(group, 6) >= 3)
+        assert group.engines.mixed_map_passes == 0
+
+    asyncio.run(run_scenario(tmp_path, scenario))
+
+
 def test_side_process_handles_sighup_and_sigterm(tmp_path: pathlib.Path) -> None:
     """Guards against a side process that exits on a reload of its settings."""
 
