Count the calls to the store by kind and purpose

ObjectStore counts each call by kind (read, stale read, watch, write, delete) and purpose, also refused and failed ones.

--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -31,6 +31,7 @@
     peers,
     platform_state,
     service_queue,
+    store_calls,
     store_watch,
 )
 from gentianpaddle_platform import directory, headers, objects, settings
@@ -85,7 +86,10 @@
         self._collectors = collectors.CollectorView()
         self._collecting = False
         self._submitted_s_by_address: dict[peers.SocketAddress, float] = {}
-        self._state = platform_state.PlatformState(process_settings.store_address)
+        self._store_calls = store_calls.StoreCalls()
+        self._state = platform_state.PlatformState(
+            process_settings.store_address, self._store_calls
+        )
         self._state.servers.set_drain_time(process_settings.bounds.drain_s)
         self._server_load = placement.new_placement(
             process_settings.data_centre, random.getrandbits(32), time.monotonic()
@@ -105,6 +109,8 @@
             objects.ObjectStore(
                 http_client.PersistentTransport(process_settings.store_address),
                 store_watch.CALL_TIMEOUT_S,
+                "members",
+                self._store_calls,
             ),
             needs_all=lambda: False,
         )
@@ -141,6 +147,7 @@
         await self._shut_down()
         for task in tasks:
             task.cancel()
+        self._store_calls.log_summary(logging.INFO)
         log.event(_logger, "stop", in_progress=self._caller_server.in_progress)
 
     async def _listen(self) -> None:
@@ -217,6 +224,8 @@
         self._metrics.set_gauge("in_progress", self._caller_server.in_progress)
         table = self._state.table
         self._metrics.set_gauge("configuration_version", table.version if table else 0)
+        for (kind, purpose), count in self._store_calls.counts().items():
+            self._metrics.set_store_calls(kind.value, purpose, count)
         fields = [(b"content-type", b"text/plain; version=0.0.4")]
         await responder.respond(200, fields, self._metrics.render())
 
--- a/packages/gateway/src/gentianpaddle_gateway/metrics.py
+++ b/packages/gateway/src/gentianpaddle_gateway/metrics.py
@@ -28,6 +28,11 @@
         self._gauges = aioprometheus.Gauge(
             "gentianpaddle_front_state", "Present state by name", registry=self._registry
         )
+        self._store_calls = aioprometheus.Counter(
+            "gentianpaddle_front_store_calls_total",
+            "Calls to the store by kind and purpose",
+            registry=self._registry,
+        )
 
     def count_request(self, route: str, outcome: str) -> None:
         """Increment the counter of finished requests.
@@ -57,6 +62,16 @@
         """
         self._gauges.set({"name": name}, value)
 
+    def set_store_calls(self, kind: str, purpose: str, count: int) -> None:
+        """Set the counter of calls to the store.
+
+        Args:
+            kind: Kind of the calls, for example "watch".
+            purpose: What the calls are for.
+            count: Number of these calls since the start.
+        """
+        self._store_calls.set({"kind": kind, "purpose": purpose}, count)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         content, _ = renderer.render(self._registry, [])
--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -26,9 +26,10 @@
 
     Args:
         store_address: Host and port of the store.
+        counter: Counts the calls to the store, or None.
     """
 
-    def __init__(self, store_address: str) -> None:
+    def __init__(self, store_address: str, counter: objects.CallCounter | None = None) -> None:
         self.table: routes.RoutingTable | None = None
         """Routing table in force; None until the first configuration is received."""
         self.servers = servers.ServerView()
@@ -40,18 +41,21 @@
                 _ConfigurationHandler(self),
                 store_address,
                 prompt_wait_s=store_watch.PROMPT_CONFIGURATION_WAIT_S,
+                counter=counter,
             ),
             documents.SERVERS_KIND: store_watch.Watch(
                 documents.SERVERS_KIND,
                 _ServersHandler(self),
                 store_address,
                 store_watch.WATCH_WAIT_S,
+                counter=counter,
             ),
             documents.EVACUATIONS_KIND: store_watch.Watch(
                 documents.EVACUATIONS_KIND,
                 _EvacuationsHandler(self),
                 store_address,
                 prompt_wait_s=store_watch.PROMPT_EVACUATIONS_WAIT_S,
+                counter=counter,
             ),
         }
 
--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -20,6 +20,7 @@
     log,
     peers,
     side_calls,
+    store_calls,
     store_watch,
 )
 from gentianpaddle_platform import documents, engines, objects, settings
@@ -60,15 +61,20 @@
                 engine_address=engine_address,
             )
         )
+        self._store_calls = store_calls.StoreCalls()
         self._store = objects.ObjectStore(
             http_client.PersistentTransport(process_settings.store_address),
             store_watch.CALL_TIMEOUT_S,
+            "expert_shape",
+            self._store_calls,
         )
         self._registration = peers.Registration(
             self._members,
             objects.ObjectStore(
                 http_client.PersistentTransport(process_settings.store_address),
                 store_watch.CALL_TIMEOUT_S,
+                "members",
+                self._store_calls,
             ),
             needs_all=self._needs_all_members,
         )
@@ -96,7 +102,11 @@
         config = self._settings
         server = http_server.Server(self._calls.serve, lambda: routes.DEFAULT_CLIENT_LIMITS)
         await server.listen(f"{config.ip}:{config.port}")
-        coroutines = [self._registration.run(), self._report_loads()]
+        coroutines = [
+            self._registration.run(),
+            self._report_loads(),
+            self._store_calls.log_regularly(),
+        ]
         if config.expert_placement_enabled:
             coroutines += [self._poll_expert_shape(), self._coordinator.run()]
         tasks = [loop.create_task(item) for item in coroutines]
@@ -105,6 +115,7 @@
         await self._stopping.wait()
         for task in tasks:
             task.cancel()
+        self._store_calls.log_summary(logging.INFO)
         log.event(_logger, "stop")
 
     def _needs_all_members(self) -> bool:
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -86,6 +86,7 @@
         address: Host and port of the store.
         wait_s: Maximum time that a call waits for changes.
         prompt_wait_s: Maximum time that a call waits at a prompt watcher; None if it is the same.
+        counter: Counts the calls, or None.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         address: str,
         wait_s: float = DEFAULT_WATCH_WAIT_S,
         prompt_wait_s: float | None = None,
+        counter: objects.CallCounter | None = None,
     ) -> None:
         self.kind = kind
         self.prompt = True
@@ -107,7 +109,7 @@
         self.revision = 0
         """Store revision of the last listing or change that was applied."""
         self._object_by_name: dict[str, objects.StoredObject] = {}
-        self._store = objects.ObjectStore(self.transport, CALL_TIMEOUT_S)
+        self._store = objects.ObjectStore(self.transport, CALL_TIMEOUT_S, kind, counter)
         self._handler = handler
         self._watch_revision: int | None = None
         self._failure_count = 0
