Let the watches of a front take turns while the store is down

Each of the three watches of a front retried by itself while the store refused all calls or answered none, and each call is charged. store_retries decides: while all watches fail, one calls after the other, at most 0.9 s from call to call, and the first answer lets all call at once. While only some fail, each retries by itself as before. A front learns that the store is back within 0.9 s instead of 1.2 s; if calls of one kind fail on, the others call at the second turn, within the 2 s after which a change must be known (test_store_retries, which fails if all may call).

--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -35,12 +35,20 @@
         self.servers = servers.ServerView()
         self.changed = asyncio.Event()
         """Set when servers or evacuations change; cleared by the reader."""
+        self.store_retries = store_watch.Retries(
+            (
+                documents.CONFIGURATION_KIND,
+                documents.SERVERS_KIND,
+                documents.EVACUATIONS_KIND,
+            )
+        )
         self.watches: dict[str, store_watch.Watch] = {
             documents.CONFIGURATION_KIND: store_watch.Watch(
                 documents.CONFIGURATION_KIND,
                 _ConfigurationHandler(self),
                 store_address,
                 prompt_wait_s=store_watch.PROMPT_CONFIGURATION_WAIT_S,
+                retries=self.store_retries,
                 counter=counter,
             ),
             documents.SERVERS_KIND: store_watch.Watch(
@@ -48,6 +56,7 @@
                 _ServersHandler(self),
                 store_address,
                 store_watch.WATCH_WAIT_S,
+                retries=self.store_retries,
                 counter=counter,
             ),
             documents.EVACUATIONS_KIND: store_watch.Watch(
@@ -55,6 +64,7 @@
                 _EvacuationsHandler(self),
                 store_address,
                 prompt_wait_s=store_watch.PROMPT_EVACUATIONS_WAIT_S,
+                retries=self.store_retries,
                 counter=counter,
             ),
         }
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -7,7 +7,9 @@
 import random
 import typing
 import zlib
+from collections.abc import Iterable
 
+from gentianpaddle_core.serving import store_retries
 from gentianpaddle_gateway import http_client, log
 from gentianpaddle_platform import objects
 
@@ -44,9 +46,43 @@
 """Pause after a change before the next call, so that one call returns several changes. Servers
 start and stop in groups, and the strictest limit for the delay of a change is 2 s."""
 
-RETRY_PAUSE_RANGE_S = (0.15, 1.2)
-"""Shortest and longest pause after a failed call. The pause doubles with each failure and is
-reduced at random by up to one half."""
+
+class Retries:
+    """Retries of all watches of this front; see `store_retries`.
+
+    Args:
+        kinds: Kinds that the front watches.
+    """
+
+    def __init__(self, kinds: Iterable[str]) -> None:
+        self._turns = store_retries.RetryTurns(kinds)
+        self._changed = asyncio.Event()
+
+    async def wait(self, kind: str, call_s: float) -> None:
+        """Wait after a failed call until the next one may be sent.
+
+        Args:
+            kind: Kind of the watch.
+            call_s: Duration of the call in seconds.
+        """
+        await asyncio.sleep(self._turns.record_failure(kind, call_s, random.random()))
+        self._turns.end_pause(kind)
+        self._notify()
+        while not self._turns.may_call(kind):
+            await self._changed.wait()
+
+    def record_success(self, kind: str) -> None:
+        """Record a successful call, after which all waiting watches may call.
+
+        Args:
+            kind: Kind of the watch.
+        """
+        self._turns.record_success(kind)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
 
 class WatchHandler(typing.Protocol):
@@ -86,6 +122,7 @@
         address: Host and port of the store.
         wait_s: Maximum time that a call waits for changes.
         prompt_wait_s: Maximum time that a call waits at a prompt watcher; None if it is the same.
+        retries: Retries of all watches of this front; None if this is the only one.
         counter: Counts the calls, or None.
     """
 
@@ -96,6 +133,7 @@
         address: str,
         wait_s: float = DEFAULT_WATCH_WAIT_S,
         prompt_wait_s: float | None = None,
+        retries: Retries | None = None,
         counter: objects.CallCounter | None = None,
     ) -> None:
         self.kind = kind
@@ -113,6 +151,9 @@
         self._handler = handler
         self._watch_revision: int | None = None
         self._failure_count = 0
+        self._retries = retries or Retries([kind])
+        self._called_s = 0.0
+        """Monotonic time of the last call."""
 
     async def run(self) -> None:
         """Watch the kind until cancelled."""
@@ -120,6 +161,7 @@
             await self._run_cycle()
 
     async def _run_cycle(self) -> None:
+        self._called_s = asyncio.get_running_loop().time()
         if self._watch_revision is None:
             listing = await self._store.list(self.kind)
             if isinstance(listing, objects.Unavailable):
@@ -184,6 +226,7 @@
         if self._failure_count or self.last_answer_s is None:
             log.event(_logger, "store_regained", kind=self.kind, failures=self._failure_count)
         self._failure_count = 0
+        self._retries.record_success(self.kind)
         self.last_answer_s = asyncio.get_running_loop().time()
         self._handler.on_store_answered()
 
@@ -201,7 +244,6 @@
         if not self._failure_count:
             log.event(_logger, "store_lost", logging.WARNING, kind=self.kind, reason=failure.reason)
         self._handler.on_store_lost(failure.timed_out)
-        min_pause_s, max_pause_s = RETRY_PAUSE_RANGE_S
-        pause_s = min(max_pause_s, min_pause_s * 2**self._failure_count)
-        self._failure_count = min(self._failure_count + 1, 16)
-        await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+        self._failure_count += 1
+        call_s = asyncio.get_running_loop().time() - self._called_s
+        await self._retries.wait(self.kind, call_s)
