Register side processes only if the store does not list them

A side process that started again wrote its registration twice (refused creation, replacement), although nobody had removed it. It now reads the list first, which costs a tenth of a write, and writes only if its entry is missing or has changed; an entry that the list of a later read lacks is written again as before. Fronts remove their registration when they stop, and a stale read may still show it, so they write in any case. While the store is down, a front registers after its watches have an answer, and a side process writes only after each fourth failed read, instead of a write each 0.5 s.

The fake store of test_registration can refuse and counts writes; no existing test is changed.

--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -113,6 +113,7 @@
                 self._store_calls,
             ),
             needs_all=lambda: False,
+            wait_for_store=self._state.store_retries.wait_for_store,
         )
         self._datagrams: peers.Datagrams | None = None
         self._distributor: distribution.Distributor | None = None
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 import typing
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import members
@@ -31,6 +31,10 @@
 """Interval between these reads until this VM is registered and another VM is known. After that the
 interval doubles with each read: the other VMs of a system that starts register after this one."""
 
+FAILED_READS_PER_WRITE = 4
+"""Number of failed reads after which a VM that serves no callers tries to register all the same. A
+read costs a tenth of a write, so it shows first whether the store answers."""
+
 STALE_READ_LIMIT_S = 10.0
 """Upper bound of the age of data that a stale read of the store returns."""
 
@@ -228,6 +232,8 @@
         member_view: Known VMs; updated from the store.
         store: Client of the platform's store.
         needs_all: Returns whether this process needs to know all registered VMs at present.
+        wait_for_store: Waits while the store is known to be down; None if this process has no
+            watches that tell.
     """
 
     def __init__(
@@ -235,29 +241,34 @@
         member_view: members.MemberView,
         store: objects.ObjectStore,
         needs_all: Callable[[], bool],
+        wait_for_store: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._member_view = member_view
         self._needs_all = needs_all
         self._store = store
+        self._wait_for_store = wait_for_store
+        self._failed_reads = 0
         self._registered_at_s: float | None = None
         self._silent_since_s: dict[ids.VmId, float] = {}
 
     async def run(self) -> None:
         """Keep this VM registered and read the registered VMs until cancelled."""
-        own = self._member_view.own
+        # A front removes its registration when it stops, and a stale read may still show it.
+        keeps_registration = self._member_view.own.front_address is None
         interval_s = INITIAL_MEMBERS_INTERVAL_S
         while True:
-            if self._registered_at_s is None:
-                result = await self._store.put(
-                    documents.MEMBERS_KIND, own.vm, documents.encode_member(own)
-                )
-                if isinstance(result, objects.StoredObject):
-                    self._registered_at_s = asyncio.get_running_loop().time()
-                else:
-                    log.event(_logger, "not_registered", logging.WARNING, reason=result.reason)
+            if self._wait_for_store is not None:
+                await self._wait_for_store()
+            if not keeps_registration:
+                await self._register()
             listing = await self._store.list(documents.MEMBERS_KIND, allow_stale=True)
             if isinstance(listing, objects.Listing):
-                await self._apply_listing(listing)
+                self._failed_reads = 0
+                await self._apply_listing(listing, keeps_registration)
+            else:
+                self._failed_reads += 1
+            if keeps_registration and self._failed_reads % FAILED_READS_PER_WRITE == 0:
+                await self._register()
             initialised = (
                 len(self._member_view.other_members()) > 0 and self._registered_at_s is not None
             )
@@ -265,6 +276,16 @@
             if initialised:
                 interval_s = min(2.0 * interval_s, RARE_MEMBERS_INTERVAL_S)
 
+    async def _register(self) -> None:
+        if self._registered_at_s is not None:
+            return
+        own = self._member_view.own
+        result = await self._store.put(documents.MEMBERS_KIND, own.vm, documents.encode_member(own))
+        if isinstance(result, objects.StoredObject):
+            self._registered_at_s = asyncio.get_running_loop().time()
+        else:
+            log.event(_logger, "not_registered", logging.WARNING, reason=result.reason)
+
     async def _pause(self, interval_s: float) -> None:
         """Wait for an interval, or `MEMBERS_INTERVAL_S` if this process needs all VMs."""
         loop = asyncio.get_running_loop()
@@ -274,7 +295,7 @@
                 return
             await asyncio.sleep(min(INITIAL_MEMBERS_INTERVAL_S, interval_s - elapsed_s))
 
-    async def _apply_listing(self, listing: objects.Listing) -> None:
+    async def _apply_listing(self, listing: objects.Listing, keeps_registration: bool) -> None:
         registered = []
         for item in listing.objects:
             member = documents.decode_member(item.name, item.spec)
@@ -288,6 +309,8 @@
             and now_s - self._registered_at_s > STALE_READ_LIMIT_S
         ):
             self._registered_at_s = None
+        if keeps_registration and self._member_view.own in registered:
+            self._registered_at_s = self._registered_at_s or now_s
         for member in registered:
             if member.front_address is None or self._member_view.is_alive(member.vm, now_s):
                 self._silent_since_s.pop(member.vm, None)
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -80,6 +80,11 @@
         self._turns.record_success(kind)
         self._notify()
 
+    async def wait_for_store(self) -> None:
+        """Wait while all watches fail, so that other calls are not refused as well."""
+        while self._turns.all_failing:
+            await self._changed.wait()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/packages/gateway/tests/test_registration.py
+++ b/packages/gateway/tests/test_registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import typing
 
@@ -20,13 +21,24 @@
     def __init__(self) -> None:
         self.spec_by_name: dict[str, typing.Any] = {}
         self.list_count = 0
-
-    async def put(self, kind: str, name: str, spec: typing.Any) -> objects.StoredObject:
+        self.put_count = 0
+        self.available = True
+
+    async def put(
+        self, kind: str, name: str, spec: typing.Any
+    ) -> objects.StoredObject | objects.Unavailable:
+        self.put_count += 1
+        if not self.available:
+            return objects.Unavailable("status 503")
         self.spec_by_name[name] = json.loads(json.dumps(spec))
         return objects.StoredObject(name, len(self.spec_by_name), spec)
 
-    async def list(self, kind: str, allow_stale: bool = False) -> objects.Listing:
+    async def list(
+        self, kind: str, allow_stale: bool = False
+    ) -> objects.Listing | objects.Unavailable:
         self.list_count += 1
+        if not self.available:
+            return objects.Unavailable("status 503")
         items = [objects.StoredObject(name, 1, spec) for name, spec in self.spec_by_name.items()]
         return objects.Listing(tuple(items), 1)
 
@@ -40,6 +52,11 @@
     return members.Member(ids.VmId(f"f{number}"), ids.DataCentreId("a"), ip, 1, f"{ip}:2", None)
 
 
+def side(number: int) -> members.Member:
+    ip = f"10.0.1.{number}"
+    return members.Member(ids.VmId(f"s{number}"), ids.DataCentreId("a"), ip, 1, None, f"{ip}:2")
+
+
 async def run_scaled(
     registration: peers.Registration, monkeypatch: pytest.MonkeyPatch, duration_s: float
 ) -> None:
@@ -91,3 +108,79 @@
         assert store.list_count <= most
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("own", "registered", "writes"),
+    [
+        (side(0), None, 1),
+        (side(0), side(0), 0),
+        (side(0), dataclasses.replace(side(0), ip="10.0.1.9"), 1),
+        (front(0), front(0), 1),
+    ],
+)
+def test_restarted_vm_writes_only_what_has_changed(
+    monkeypatch: pytest.MonkeyPatch,
+    own: members.Member,
+    registered: members.Member | None,
+    writes: int,
+) -> None:
+    """Guards against two charged writes of each side process that starts again.
+
+    A front writes in any case, since it removes its registration when it stops and a stale read may
+    still show it.
+    """
+
+    async def scenario() -> None:
+        store = FakeStore()
+        if registered is not None:
+            store.spec_by_name[own.vm] = json.loads(json.dumps(documents.encode_member(registered)))
+        registration = peers.Registration(
+            members.MemberView(own), typing.cast("objects.ObjectStore", store), lambda: False
+        )
+        await run_scaled(registration, monkeypatch, 5.0)
+        assert store.put_count == writes
+        assert documents.decode_member(own.vm, store.spec_by_name[own.vm]) == own
+
+    asyncio.run(scenario())
+
+
+def test_side_process_reads_first_while_the_store_refuses(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a refused write each 0.5 s, and against a VM that never registers."""
+
+    async def scenario() -> None:
+        store = FakeStore()
+        store.available = False
+        registration = peers.Registration(
+            members.MemberView(side(0)), typing.cast("objects.ObjectStore", store), lambda: False
+        )
+        task = asyncio.create_task(run_scaled(registration, monkeypatch, 40.0))
+        await asyncio.sleep(0.2)
+        assert store.list_count >= 2 * peers.FAILED_READS_PER_WRITE
+        assert 1 <= store.put_count <= store.list_count // peers.FAILED_READS_PER_WRITE
+        store.available = True
+        await task
+        assert "s0" in store.spec_by_name
+
+    asyncio.run(scenario())
+
+
+def test_front_does_not_register_while_its_watches_fail(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against calls beside those that already tell that the store is down."""
+
+    async def scenario() -> None:
+        store, answered = FakeStore(), asyncio.Event()
+        registration = peers.Registration(
+            members.MemberView(front(0)),
+            typing.cast("objects.ObjectStore", store),
+            lambda: False,
+            answered.wait,
+        )
+        task = asyncio.create_task(run_scaled(registration, monkeypatch, 20.0))
+        await asyncio.sleep(0.1)
+        assert store.put_count == store.list_count == 0
+        answered.set()
+        await task
+        assert "f0" in store.spec_by_name
+
+    asyncio.run(scenario())
