Read lists and configuration less often at side processes

A side process read the list of VMs at doubling intervals and the configuration each 20 s, although it needs all VMs only without a collector or as the coordinator, and the expert shape only as the coordinator. It now goes on with a read of the list each 20 s once it knows a collector, reads it at once when it begins to need all VMs, and repeats the configuration only as the coordinator. All still read the configuration once, so that they know the shape if the store is down when they take over. While the shape is not known, the reads become rarer, from 0.5 to 4 s, with jitter.

No existing test is changed.

--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -29,7 +29,8 @@
 
 INITIAL_MEMBERS_INTERVAL_S = 0.5
 """Interval between these reads until this VM is registered and another VM is known. After that the
-interval doubles with each read: the other VMs of a system that starts register after this one."""
+interval doubles with each read: the other VMs of a system that starts register after this one. A VM
+that serves no callers goes on with `RARE_MEMBERS_INTERVAL_S` at once, unless it needs all VMs."""
 
 FAILED_READS_PER_WRITE = 4
 """Number of failed reads after which a VM that serves no callers tries to register all the same. A
@@ -274,7 +275,9 @@
             )
             await self._pause(interval_s)
             if initialised:
+                needless = keeps_registration and not self._needs_all()
                 interval_s = min(2.0 * interval_s, RARE_MEMBERS_INTERVAL_S)
+                interval_s = RARE_MEMBERS_INTERVAL_S if needless else interval_s
 
     async def _register(self) -> None:
         if self._registered_at_s is not None:
@@ -287,11 +290,15 @@
             log.event(_logger, "not_registered", logging.WARNING, reason=result.reason)
 
     async def _pause(self, interval_s: float) -> None:
-        """Wait for an interval, or `MEMBERS_INTERVAL_S` if this process needs all VMs."""
+        """Wait for an interval, or less if this process needs all VMs.
+
+        It waits for `MEMBERS_INTERVAL_S` if it needs them from the start, or else until it does.
+        """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        needed_at_start = self._needs_all()
         while (elapsed_s := loop.time() - started_s) < interval_s:
-            if elapsed_s >= MEMBERS_INTERVAL_S and self._needs_all():
+            if self._needs_all() and (elapsed_s >= MEMBERS_INTERVAL_S or not needed_at_start):
                 return
             await asyncio.sleep(min(INITIAL_MEMBERS_INTERVAL_S, interval_s - elapsed_s))
 
--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import random
 import signal
 
 from gentianpaddle_core.serving import collectors, engine_state, members, routes
@@ -34,10 +35,16 @@
 """Time after which an unchanged load is sent again. Fronts discard a load after 1 s."""
 
 CONFIGURATION_INTERVAL_S = 20.0
-"""Interval between stale reads of the configuration, which holds the engine's expert shape."""
+"""Interval between stale reads of the configuration, which holds the engine's expert shape, while
+this process coordinates. Others read it once, so that they know it if the store is down when they
+become the coordinator."""
 
-CONFIGURATION_RETRY_S = 0.5
-"""Interval between reads of the configuration while the expert shape is not known."""
+CONFIGURATION_RETRY_RANGE_S = (0.5, 4.0)
+"""Shortest and longest interval between reads of the configuration while the expert shape is not
+known. The interval doubles with each read and is reduced at random by up to one half."""
+
+STANDBY_INTERVAL_S = 0.2
+"""Interval at which a process that does not coordinate checks whether it does."""
 
 
 class SideProcess:
@@ -139,12 +146,18 @@
         log.event(_logger, "reload", changed=loaded != self._settings, rejected=rejected)
 
     async def _poll_expert_shape(self) -> None:
+        retry_s, longest_retry_s = CONFIGURATION_RETRY_RANGE_S
         while True:
             listing = await self._store.list(documents.CONFIGURATION_KIND, allow_stale=True)
             if isinstance(listing, objects.Listing):
                 self._apply_expert_shape(listing)
-            shape_known = self._coordinator.expert_shape is not None
-            await asyncio.sleep(CONFIGURATION_INTERVAL_S if shape_known else CONFIGURATION_RETRY_S)
+            if self._coordinator.expert_shape is None:
+                await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(2.0 * retry_s, longest_retry_s)
+                continue
+            await asyncio.sleep(CONFIGURATION_INTERVAL_S)
+            while not self._coordinator.active:
+                await asyncio.sleep(STANDBY_INTERVAL_S)
 
     def _apply_expert_shape(self, listing: objects.Listing) -> None:
         configuration = objects.find_by_name(listing.objects, documents.CONFIGURATION_NAME)
--- a/packages/gateway/tests/test_registration.py
+++ b/packages/gateway/tests/test_registration.py
@@ -110,6 +110,31 @@
     asyncio.run(scenario())
 
 
+def test_side_process_lists_again_only_when_it_needs_all_vms(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against charged reads of each side process, and against a late coordinator."""
+
+    async def scenario() -> None:
+        store = FakeStore()
+        await store.put(documents.MEMBERS_KIND, "f1", documents.encode_member(front(1)))
+        needed = False
+        registration = peers.Registration(
+            members.MemberView(side(0)),
+            typing.cast("objects.ObjectStore", store),
+            lambda: needed,
+        )
+        task = asyncio.create_task(run_scaled(registration, monkeypatch, 30.0))
+        await asyncio.sleep(0.14)
+        assert store.list_count <= 2
+        before, needed = store.list_count, True
+        await asyncio.sleep(0.02)
+        assert store.list_count == before + 1
+        await task
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("own", "registered", "writes"),
     [
