Remove the registration of a lost front from one live front only

Each process that had not heard of a front for 60 s removed its registration. All fronts read the same list, so each of them sent a charged call. Side processes hear no heartbeats of fronts, only the announcements of collectors, so after 60 s each of them removed the registrations of all live fronts with each list that it read, and these registered again. Now the live front that a rendezvous hash chooses removes it, and side processes remove none.

test_one_live_front_removes_the_registration_of_a_lost_one (four live fronts, two side processes, one lost front): 6 processes remove registrations before, 1 after. Run with it: test_registration, test_store_calls, test_operations_page, test_store_watch, test_side_process, test_front_process, 49 passed.

--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -13,7 +13,7 @@
 import typing
 from collections.abc import Awaitable, Callable
 
-from gentianpaddle_core import ids
+from gentianpaddle_core import ids, rendezvous
 from gentianpaddle_core.serving import members
 from gentianpaddle_gateway import log
 from gentianpaddle_platform import decoding, documents, objects
@@ -41,7 +41,8 @@
 
 DEREGISTER_AFTER_S = 60.0
 """Time without a heartbeat after which the registration of a front is removed. If the front is
-alive, it registers again."""
+alive, it registers again. One of the live fronts removes it: all read the same list, and each call
+is charged."""
 
 _LOAD_FORMAT = struct.Struct("!B4sHHHQ")
 """Load of one engine: whether its group is open, its IPv4 address and port, number of requests,
@@ -321,10 +322,20 @@
         for member in registered:
             if member.front_address is None or self._member_view.is_alive(member.vm, now_s):
                 self._silent_since_s.pop(member.vm, None)
-            elif now_s - self._silent_since_s.setdefault(member.vm, now_s) > DEREGISTER_AFTER_S:
+            elif now_s - self._silent_since_s.setdefault(
+                member.vm, now_s
+            ) > DEREGISTER_AFTER_S and self._removes(member.vm, now_s):
                 log.event(_logger, "registration_removed", member=member.vm)
                 await self._store.delete(documents.MEMBERS_KIND, member.vm)
 
+    def _removes(self, vm: ids.VmId, now_s: float) -> bool:
+        """Return whether this process removes the registration of a silent front."""
+        own = self._member_view.own
+        if own.front_address is None:
+            return False
+        live_vms = [member.vm for member in self._member_view.live_fronts(now_s)]
+        return own.vm in rendezvous.choose(f"removal of {vm}", [*live_vms, own.vm], 1)
+
     async def deregister(self) -> None:
         """Remove the registration of this VM."""
         await self._store.delete(documents.MEMBERS_KIND, self._member_view.own.vm)
--- a/packages/gateway/tests/test_registration.py
+++ b/packages/gateway/tests/test_registration.py
@@ -22,6 +22,7 @@
         self.spec_by_name: dict[str, typing.Any] = {}
         self.list_count = 0
         self.put_count = 0
+        self.delete_count = 0
         self.available = True
 
     async def put(
@@ -43,7 +44,7 @@
         return objects.Listing(tuple(items), 1)
 
     async def delete(self, kind: str, name: str) -> objects.Response:
-        self.spec_by_name.pop(name, None)
+        self.delete_count += 1
         return objects.Response(200, b"")
 
 
@@ -209,3 +210,34 @@
         assert "f0" in store.spec_by_name
 
     asyncio.run(scenario())
+
+
+def test_one_live_front_removes_the_registration_of_a_lost_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a charged call of each front, and of side processes, which hear no heartbeats.
+
+    Reads are stale: they show the lost front also after its registration was removed.
+    """
+    monkeypatch.setattr(peers, "DEREGISTER_AFTER_S", 0.05)
+
+    async def scenario() -> None:
+        live, lost = [front(number) for number in range(4)], front(9)
+        stores = []
+        for own in [*live, side(0), side(1)]:
+            store = FakeStore()
+            stores.append(store)
+            for member in [*live, lost]:
+                await store.put(documents.MEMBERS_KIND, member.vm, documents.encode_member(member))
+            view = members.MemberView(own)
+            for member in live if own in live else ():
+                view.record_heartbeat(member, True, asyncio.get_running_loop().time())
+            registration = peers.Registration(
+                view, typing.cast("objects.ObjectStore", store), lambda: True
+            )
+            await run_scaled(registration, monkeypatch, 30.0)
+            monkeypatch.undo()
+            monkeypatch.setattr(peers, "DEREGISTER_AFTER_S", 0.05)
+        assert sum(store.delete_count > 0 for store in stores) == 1
+
+    asyncio.run(scenario())
