--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import random
 import signal
 
 from gentianpaddle_core.serving import collectors, engine_state, group_stall, members, routes
@@ -20,6 +21,7 @@
     log,
     peers,
     side_calls,
+    store_calls,
     store_watch,
 )
 from gentianpaddle_platform import documents, engines, objects, settings
@@ -33,10 +35,16 @@
 """Time after which an unchanged load is sent again. Fronts discard a load after 1 s."""
 
 CONFIGURATION_INTERVAL_S = 20.0
-"""Interval between stale reads of the configuration, which holds the engine's expert shape."""
+"""Interval between stale reads of the configuration, which holds the engine's expert shape, while
+this process coordinates. Others read it once, so that they know it if the store is down when they
+become the coordinator."""
 
-CONFIGURATION_RETRY_S = 0.5
-"""Interval between reads of the configuration while the expert shape is not known."""
+CONFIGURATION_RETRY_RANGE_S = (0.5, 4.0)
+"""Shortest and longest interval between reads of the configuration while the expert shape is not
+known. The interval doubles with each read and is reduced at random by up to one half."""
+
+STANDBY_INTERVAL_S = 0.2
+"""Interval at which a process that does not coordinate checks whether it does."""
 
 
 class SideProcess:
@@ -60,15 +68,20 @@
                 engine_address=engine_address,
             )
         )
+        self._store_calls = store_calls.StoreCalls()
         self._store = objects.ObjectStore(
             http_client.PersistentTransport(process_settings.store_address),
             store_watch.CALL_TIMEOUT_S,
+            "expert_shape",
+            self._store_calls,
         )
         self._registration = peers.Registration(
             self._members,
             objects.ObjectStore(
                 http_client.PersistentTransport(process_settings.store_address),
                 store_watch.CALL_TIMEOUT_S,
+                "members",
+                self._store_calls,
             ),
             needs_all=self._needs_all_members,
         )
@@ -98,7 +111,11 @@
         config = self._settings
         server = http_server.Server(self._calls.serve, lambda: routes.DEFAULT_CLIENT_LIMITS)
         await server.listen(f"{config.ip}:{config.port}")
-        coroutines = [self._registration.run(), self._report_loads()]
+        coroutines = [
+            self._registration.run(),
+            self._report_loads(),
+            self._store_calls.log_regularly(),
+        ]
         if config.expert_placement_enabled:
             coroutines += [self._poll_expert_shape(), self._coordinator.run()]
         tasks = [loop.create_task(item) for item in coroutines]
@@ -107,6 +124,7 @@
         await self._stopping.wait()
         for task in tasks:
             task.cancel()
+        self._store_calls.log_summary(logging.INFO)
         log.event(_logger, "stop")
 
     def _needs_all_members(self) -> bool:
@@ -130,12 +148,18 @@
         log.event(_logger, "reload", changed=loaded != self._settings, rejected=rejected)
 
     async def _poll_expert_shape(self) -> None:
+        retry_s, longest_retry_s = CONFIGURATION_RETRY_RANGE_S
         while True:
             listing = await self._store.list(documents.CONFIGURATION_KIND, allow_stale=True)
             if isinstance(listing, objects.Listing):
                 self._apply_expert_shape(listing)
-            shape_known = self._coordinator.expert_shape is not None
-            await asyncio.sleep(CONFIGURATION_INTERVAL_S if shape_known else CONFIGURATION_RETRY_S)
+            if self._coordinator.expert_shape is None:
+                await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(2.0 * retry_s, longest_retry_s)
+                continue
+            await asyncio.sleep(CONFIGURATION_INTERVAL_S)
+            while not self._coordinator.active:
+                await asyncio.sleep(STANDBY_INTERVAL_S)
 
     def _apply_expert_shape(self, listing: objects.Listing) -> None:
         configuration = objects.find_by_name(listing.objects, documents.CONFIGURATION_NAME)
