Let the process that rescues a group know all side processes

A side process that needs no other VM reads the list of VMs each 20 s. The one that holds passes needs all ranks as soon as the coordinator stops, and could not rescue the group with a list from its start.

--- a/packages/gateway/src/gentianpaddle_gateway/coordinator.py
+++ b/packages/gateway/src/gentianpaddle_gateway/coordinator.py
@@ -71,6 +71,8 @@
         """Layout in use, or the one to which a change in progress leads; None while not known."""
         self.active = False
         """Whether this process coordinates a group."""
+        self.rescuing = False
+        """Whether this process rescues the group if its coordinator stops."""
         self.expert_shape: routes.ExpertLimits | None = None
         """Limits on the expert maps of the engines' service; None while not known."""
 
@@ -86,6 +88,7 @@
                 and self.expert_shape is not None
             )
             self.active = is_coordinator
+            self.rescuing = report is not None and report.rank == map_change.RESCUING_RANK
             if not is_coordinator or report is None:
                 self._change = None
                 if report is not None:
--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -131,7 +131,8 @@
         """Return whether all registered VMs must be known, to reach fronts or other engines."""
         now_s = asyncio.get_running_loop().time()
         collectors_known = self._collectors.current(self._members.own.data_centre, now_s)
-        return self._coordinator.active or not collectors_known
+        calls_ranks = self._coordinator.active or self._coordinator.rescuing
+        return calls_ranks or not collectors_known
 
     def _receive_datagram(self, data: bytes, sender: peers.SocketAddress) -> None:
         batch = distribution.decode_batch(data)
