Send requests to another data centre when the gain exceeds the cost

A fixed penalty of 0.25 requests stood for the traffic between data centres, whatever was free at home and whatever the traffic costs. With `enabled = true` in section `[data_centre_traffic]` of our own settings, each front now compares the expected time at home (wait, slowness, cold start, free slots) with that elsewhere, the delay of the link and the cost of the bytes. A damped share limits how many requests with a net gain leave.

The front reads the file at start, and a mistake in it ends the process with exit code 3. Delays between data centres are decoded from `engine.delays`. Attempts at servers of other data centres and their bytes are counted by reason, also with the default.

pytest packages/core/tests/test_data_centre_traffic.py, .../core/src/gentianpaddle_core/serving and the tests of serving decisions, placement, queue and notices: 138 passed. The tests over processes wait for the lock of the machine and are not run at this commit.

--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -339,6 +339,21 @@
         """
         return any(self._is_open(entry.id, reports_expected, now_s) for entry in candidates)
 
+    def accepts(self, server: ids.BackendServerId, reports_expected: bool, now_s: float) -> bool:
+        """Return whether a server works and takes requests, apart from being full for a moment.
+
+        Args:
+            server: The server.
+            reports_expected: Whether the server reports its load.
+            now_s: Monotonic time in seconds.
+        """
+        load = self.load(server)
+        if self._is_suspect(server, now_s):
+            return False
+        if load.failed_connections == 0 and now_s < load.declined_until_s:
+            return not reports_expected or load.group_open
+        return self._is_open(server, reports_expected, now_s)
+
     def _is_open(self, server: ids.BackendServerId, reports_expected: bool, now_s: float) -> bool:
         load = self.load(server)
         if now_s < load.declined_until_s:
--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -83,6 +83,10 @@
         """
         self._entries = [entry for entry in self._entries if entry.item is not item]
 
+    def waiting(self) -> list[QueuedRequest[T]]:
+        """Return the queued requests in the order of their arrival."""
+        return list(self._entries)
+
     def next_to_start(self, now_s: float) -> QueuedRequest[T] | None:
         """Return the request to start next, or None if the queue is empty.
 
--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -59,6 +59,10 @@
     """Number of tokens that fit into the engine's memory."""
     experts: ExpertLimits | None
     """Limits on expert placement, or None for an engine without experts."""
+    delay_s_by_link: Mapping[tuple[ids.DataCentreId, ids.DataCentreId], float] = dataclasses.field(
+        default_factory=dict
+    )
+    """One-way delay between two data centres in seconds, where one is published."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +105,8 @@
     """Priority among routes; 0 is the highest."""
     weight_by_service: tuple[tuple[ServiceName, float], ...]
     """Services with their weight in the split of requests."""
+    home: ids.DataCentreId | None = None
+    """Data centre that requests must not leave. The configuration has no word for it yet."""
 
     @property
     def repeatable(self) -> bool:
--- a/packages/core/src/gentianpaddle_core/serving/server_notices.py
+++ b/packages/core/src/gentianpaddle_core/serving/server_notices.py
@@ -89,6 +89,14 @@
             and self.limits.allows(server, now_s)
         )
 
+    def is_leaving(self, server: ids.BackendServerId) -> bool:
+        """Return whether a server has said that it leaves.
+
+        Args:
+            server: The server.
+        """
+        return server in self._leaving
+
     def pause_s(self, servers: Collection[ids.BackendServerId], now_s: float) -> float:
         """Return the time in seconds until the first of some servers takes requests again.
 
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import attempts, crash_records, event_stream, routes, servers
+from gentianpaddle_core.serving import (
+    attempts,
+    crash_records,
+    data_centre_traffic,
+    event_stream,
+    routes,
+    servers,
+)
 from gentianpaddle_gateway import http_client, http_server, silence_watch
 from gentianpaddle_platform import headers
 
@@ -43,6 +50,8 @@
     """Called with the head of each answer, and the server that sent it."""
     expires_at_s: float
     """Monotonic time at which the deadline of the caller or the time-out of the route expires."""
+    traffic: data_centre_traffic.RequestTraffic
+    """Traffic of the request between data centres."""
     reader: event_stream.EventReader
     """Reader of the event stream; knows which events the caller has received."""
     history: attempts.AttemptHistory = dataclasses.field(default_factory=attempts.AttemptHistory)
@@ -58,6 +67,10 @@
     """Monotonic time at which the first event or the complete answer was ready to be sent."""
     last_event_s: float | None = None
     """Monotonic time at which the last event of a stream was ready to be sent."""
+    sent_bytes: int = 0
+    """Size of the body that the last attempt sent to its server."""
+    answer_bytes: int = 0
+    """Size of the answer's body that the last attempt received."""
 
     def caller_leaves_s(self) -> float | None:
         """Return the monotonic time at which the caller leaves unless an event arrives, or None."""
@@ -114,6 +127,7 @@
     Returns:
         Outcome of the attempt.
     """
+    context.sent_bytes = context.answer_bytes = 0
     remaining_s = context.remaining_s()
     if remaining_s <= 0.0:
         return attempts.NotRun("no time left")
@@ -169,6 +183,7 @@
     context.sent_s = asyncio.get_running_loop().time()
     context.answer_stage = attempts.AnswerStage.NOTHING
     watch.start()
+    context.sent_bytes = len(request.body)
     await connection.send(request.method, request.target, fields, request.body or None)
     response = await connection.read_head()
     echoed_request_id = headers.first_value(response.headers, headers.REQUEST_ID)
@@ -185,6 +200,7 @@
     context.answer_stage = attempts.AnswerStage.HEAD
     if not 200 <= response.status < 300:
         body = await connection.read_body(FAILURE_BODY_LIMIT_BYTES, memory)
+        context.answer_bytes = len(body)
         if context.route.kind is not routes.RouteKind.STREAMING:
             # An engine may fail a request without having begun an answer to its prompt.
             context.record_answer_begun()
@@ -192,6 +208,7 @@
     if context.route.kind is routes.RouteKind.STREAMING:
         return await _relay_events(context, response, connection, responder, watch)
     body = await connection.read_body(ANSWER_BODY_LIMIT_BYTES, memory)
+    context.answer_bytes = len(body)
     if not body and _may_have_body(request, response) and not _has_framing(response):
         # Without framing, an empty body cannot be told from a crash of the server.
         return attempts.Lost("the answer ended after its head", closed_by_server=True)
@@ -225,6 +242,7 @@
 ) -> AttemptOutcome:
     context.reader.discard_partial()
     while (part := await connection.read_body_part()) is not None:
+        context.answer_bytes += len(part)
         events = context.reader.feed(part)
         if not events:
             continue
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -12,6 +12,7 @@
 from gentianpaddle_core.serving import (
     attempts,
     crash_suspects,
+    data_centre_traffic,
     event_stream,
     members,
     placement,
@@ -26,6 +27,7 @@
     caller_responses,
     crash_watch,
     engine_checks,
+    gateway_settings,
     http_client,
     http_server,
     log,
@@ -34,6 +36,7 @@
     platform_state,
     service_queue,
     silence_watch,
+    traffic_control,
 )
 from gentianpaddle_platform import headers, settings
 
@@ -60,6 +63,7 @@
         member_view: Known VMs of the system.
         process_metrics: Metrics of this process.
         broadcast: Sends a message to all other fronts.
+        traffic_settings: When requests leave their data centre.
     """
 
     def __init__(
@@ -70,7 +74,10 @@
         member_view: members.MemberView,
         process_metrics: metrics.Metrics,
         broadcast: Callable[[bytes], None],
+        traffic_settings: gateway_settings.DataCentreTraffic,
     ) -> None:
+        self._data_centre = process_settings.data_centre
+        self._traffic_settings = traffic_settings
         self.crash_watch = crash_watch.CrashWatch(broadcast, self._refuse_held)
         self.engine_checks = engine_checks.EngineChecks(state.servers.address)
         self.notices = notice_exchange.NoticeExchange(member_view, broadcast)
@@ -229,6 +236,7 @@
             service=service,
             organisation=organisation,
             expires_at_s=expires_at_s,
+            traffic=data_centre_traffic.RequestTraffic(len(request.body), random.random()),
             reader=event_stream.EventReader(head.last_event_id),
         )
 
@@ -261,10 +269,12 @@
                 duration_s = asyncio.get_running_loop().time() - attempt_started_s
                 served = isinstance(outcome, attempt.Served)
                 queue.release(chosen.id, duration_s if served else None)
+                self._record_traffic(context, chosen)
             context.current_server = None
             self._record_outcome(context, chosen, outcome)
             last_outcome = outcome
             if isinstance(outcome, attempt.Served):
+                queue.traffic.record_answer(context.route, context.answer_bytes)
                 self._responses.record_served(context, chosen, outcome)
                 return
             result = outcome.result if isinstance(outcome, attempt.FailureResponse) else outcome
@@ -299,6 +309,7 @@
                 min(context.expires_at_s, work_ends_s),
                 context.caller_leaves_s(),
                 lambda: held() is not None,
+                context.traffic,
             )
         reason = held()
         if reason is None:
@@ -410,6 +421,25 @@
             remaining_ms=context.remaining_s() * 1000.0,
         )
 
+    def _record_traffic(self, context: attempt.RequestContext, server: servers.ServerEntry) -> None:
+        """Count and log an attempt at a server of another data centre."""
+        if server.data_centre == self._data_centre:
+            return
+        reason = context.traffic.reason or data_centre_traffic.Reason.DISABLED
+        transferred = context.sent_bytes + context.answer_bytes
+        self._metrics.count_data_centre_traffic(server.data_centre, reason, transferred)
+        if self._traffic_settings.enabled:
+            log.event(
+                _logger,
+                "sent_away",
+                logging.DEBUG,
+                request=context.head.request_id,
+                route=context.route.name,
+                data_centre=server.data_centre,
+                reason=reason,
+                bytes=transferred,
+            )
+
     def _record_loss(
         self, context: attempt.RequestContext, server: servers.ServerEntry, lost: attempts.Lost
     ) -> None:
@@ -430,6 +460,9 @@
                 self._front_count,
                 self._progress(service).pace,
                 lambda: self._target_event_gap_s(service),
+                traffic_control.TrafficControl(
+                    service, self._data_centre, self._traffic_settings, self._server_load
+                ),
             )
         return queue
 
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -23,6 +23,7 @@
     crash_messages,
     distribution,
     forwarder,
+    gateway_settings,
     http_client,
     http_server,
     limit_messages,
@@ -69,9 +70,14 @@
 
     Args:
         process_settings: Settings of this process.
+        own_settings: Settings of gentianpaddle itself.
     """
 
-    def __init__(self, process_settings: settings.Settings) -> None:
+    def __init__(
+        self,
+        process_settings: settings.Settings,
+        own_settings: gateway_settings.GatewaySettings,
+    ) -> None:
         self._settings = process_settings
         self._member = members.Member(
             vm=process_settings.vm,
@@ -98,6 +104,7 @@
             self._members,
             self._metrics,
             self._broadcast,
+            own_settings.data_centre_traffic,
         )
         self._caller_server = http_server.Server(self._forwarder.handle, self._forwarder.limits)
         self._registration = peers.Registration(
--- a/packages/gateway/src/gentianpaddle_gateway/main.py
+++ b/packages/gateway/src/gentianpaddle_gateway/main.py
@@ -9,7 +9,7 @@
 import gc
 import sys
 
-from gentianpaddle_gateway import front, log, side_process
+from gentianpaddle_gateway import front, gateway_settings, log, side_process
 from gentianpaddle_platform import settings
 
 INVALID_SETTINGS_EXIT_CODE = 3
@@ -28,10 +28,14 @@
     if isinstance(loaded, settings.Rejected):
         print(loaded.reason, file=sys.stderr)
         return INVALID_SETTINGS_EXIT_CODE
+    own_settings = gateway_settings.load()
+    if isinstance(own_settings, gateway_settings.Rejected):
+        print(own_settings.reason, file=sys.stderr)
+        return INVALID_SETTINGS_EXIT_CODE
     log.configure(loaded.vm)
     gc.set_threshold(GC_THRESHOLD)
     if loaded.front_address is not None or loaded.directory_address is not None:
-        asyncio.run(front.Front(loaded).run())
+        asyncio.run(front.Front(loaded, own_settings).run())
     elif loaded.engine_address is not None:
         asyncio.run(side_process.SideProcess(loaded, loaded.engine_address).run())
     else:
--- a/packages/gateway/src/gentianpaddle_gateway/metrics.py
+++ b/packages/gateway/src/gentianpaddle_gateway/metrics.py
@@ -25,6 +25,16 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        self._remote_requests = aioprometheus.Counter(
+            "gentianpaddle_front_data_centre_requests_total",
+            "Attempts sent to another data centre by reason",
+            registry=self._registry,
+        )
+        self._remote_bytes = aioprometheus.Counter(
+            "gentianpaddle_front_data_centre_bytes_total",
+            "Bytes of bodies to and from another data centre by reason",
+            registry=self._registry,
+        )
         self._gauges = aioprometheus.Gauge(
             "gentianpaddle_front_state", "Present state by name", registry=self._registry
         )
@@ -48,6 +58,18 @@
         """
         self._first_event.observe({"route": route}, latency_s)
 
+    def count_data_centre_traffic(self, data_centre: str, reason: str, transferred: int) -> None:
+        """Count an attempt at a server of another data centre.
+
+        Args:
+            data_centre: Data centre of the server.
+            reason: Why the request was sent there.
+            transferred: Bytes of the bodies sent and received.
+        """
+        labels = {"data_centre": data_centre, "reason": reason}
+        self._remote_requests.inc(labels)
+        self._remote_bytes.add(labels, transferred)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge.
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -11,6 +11,7 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    data_centre_traffic,
     pace_limit,
     placement,
     rates,
@@ -19,6 +20,7 @@
     server_notices,
     servers,
 )
+from gentianpaddle_gateway import traffic_control
 
 ENGINE_QUEUE_LIMIT = 0
 """Number of requests beyond its slots that are sent to an engine. Further requests would be queued
@@ -31,6 +33,10 @@
 DISPATCH_INTERVAL_S = 0.05
 """Maximum interval between attempts to dispatch queued requests."""
 
+LEAVING_SCAN_LIMIT = 8
+"""Maximum number of queued requests for which it is decided at once whether they are sent to
+another data centre."""
+
 RATE_WINDOW_S = 1.0
 """Length of the window in which the request rate is measured. A front of a large site gets four
 requests per second."""
@@ -51,6 +57,7 @@
     """Servers that ran or may have run the request."""
     is_held: Callable[[], bool]
     """Returns whether the request may not be sent to any server."""
+    origin: traffic_control.Origin
     assigned_server: asyncio.Future[servers.ServerEntry | None]
     """Assigned server, or None if the request expired in the queue or is held."""
 
@@ -67,6 +74,7 @@
         front_count: Returns the number of fronts that share the servers, including this one.
         pace: Limit on the requests that run at the service's engines.
         target_event_gap_s: Returns the target for the gap between events, in seconds, or None.
+        traffic: Decides which requests are sent to another data centre.
     """
 
     def __init__(
@@ -79,7 +87,10 @@
         front_count: Callable[[], int],
         pace: pace_limit.PaceLimit,
         target_event_gap_s: Callable[[], float | None],
+        traffic: traffic_control.TrafficControl,
     ) -> None:
+        self.traffic = traffic
+        self._scanned_s = -math.inf
         self._pace = pace
         self._target_event_gap_s = target_event_gap_s
         self._service = service
@@ -104,6 +115,7 @@
         expires_at_s: float,
         leaves_s: float | None,
         is_held: Callable[[], bool],
+        traffic: data_centre_traffic.RequestTraffic,
     ) -> servers.ServerEntry | Refusal:
         """Wait for a server with free capacity.
 
@@ -114,14 +126,16 @@
             expires_at_s: Monotonic time at which the request expires.
             leaves_s: Monotonic time at which the caller leaves if no event has arrived, or None.
             is_held: Returns whether the request may not be sent to any server.
+            traffic: Traffic of the request; says afterwards why it leaves this data centre.
 
         Returns:
             Server whose load now includes the request, or a refusal. The caller has to call
             `release` for the server.
         """
         now_s = asyncio.get_running_loop().time()
+        origin = traffic_control.Origin(route, arrived_s, traffic)
         if not self._queue:
-            chosen = self._choose_server(excluded, now_s)
+            chosen = self._choose_server(excluded, now_s, origin)
             if chosen is not None:
                 return chosen
         usable_servers = self._server_view.usable(self._service().name, now_s)
@@ -134,7 +148,9 @@
         slot_share = self._slot_share(now_s)
         if now_s + self._queue.expected_wait_s(slot_share, expires_at_s) > latest_start_s:
             return self._refusal("no place in time" if slot_share else "no server", now_s)
-        queued = _QueuedRequest(excluded, is_held, asyncio.get_running_loop().create_future())
+        queued = _QueuedRequest(
+            excluded, is_held, origin, asyncio.get_running_loop().create_future()
+        )
         self._queue.add(
             request_queue.QueuedRequest(
                 queued,
@@ -186,16 +202,41 @@
         """Assign servers to queued requests and refuse those that have expired."""
         now_s = asyncio.get_running_loop().time()
         self._record_running(now_s)
+        self.traffic.tick(now_s)
         self._refuse(self._queue.pop_expired(now_s))
         while (first := self._queue.next_to_start(now_s)) is not None:
-            chosen = self._choose_server(first.item.excluded, now_s)
+            chosen = self._choose_server(first.item.excluded, now_s, first.item.origin)
             if chosen is None:
+                self._send_away(first, now_s)
                 return
             self._queue.remove_started(first)
-            if first.item.assigned_server.done():
-                self._server_load.record_end(chosen.id)
-            else:
-                first.item.assigned_server.set_result(chosen)
+            self._assign(first.item, chosen)
+
+    def _assign(self, queued: _QueuedRequest, chosen: servers.ServerEntry) -> None:
+        if queued.assigned_server.done():
+            self._server_load.record_end(chosen.id)
+        else:
+            queued.assigned_server.set_result(chosen)
+
+    def _send_away(self, first: request_queue.QueuedRequest[_QueuedRequest], now_s: float) -> None:
+        """Send requests behind the first one, which waits, to another data centre if it pays.
+
+        They do not need the slot for which the first one waits.
+        """
+        if now_s - self._scanned_s < DISPATCH_INTERVAL_S:
+            return
+        self._scanned_s = now_s
+        may_leave = [
+            (ahead, entry)
+            for ahead, entry in enumerate(self._queue.waiting())
+            if entry is not first and self.traffic.may_leave(entry.item.origin)
+        ]
+        for ahead, entry in may_leave[:LEAVING_SCAN_LIMIT]:
+            item = entry.item
+            chosen = self._choose_server(item.excluded, now_s, item.origin, ahead)
+            if chosen is not None:
+                self._queue.discard(item)
+                self._assign(item, chosen)
 
     def limit_end(self, end_s: float) -> None:
         """Refuse the queued requests that cannot be served until a time.
@@ -225,9 +266,13 @@
         return not self._queue and self._find_server(excluded, now_s) is not None
 
     def _choose_server(
-        self, excluded: Collection[ids.BackendServerId], now_s: float
+        self,
+        excluded: Collection[ids.BackendServerId],
+        now_s: float,
+        origin: traffic_control.Origin,
+        ahead: int = 0,
     ) -> servers.ServerEntry | None:
-        chosen = self._find_server(excluded, now_s)
+        chosen = self._find_server(excluded, now_s, origin, ahead)
         if chosen is None:
             return None
         self._server_load.record_start(chosen.id, now_s)
@@ -238,7 +283,11 @@
         return chosen
 
     def _find_server(
-        self, excluded: Collection[ids.BackendServerId], now_s: float
+        self,
+        excluded: Collection[ids.BackendServerId],
+        now_s: float,
+        origin: traffic_control.Origin | None = None,
+        ahead: int = 0,
     ) -> servers.ServerEntry | None:
         service = self._service()
         candidates = [
@@ -262,6 +311,14 @@
             room = pace_limit.room(slot_limit, len(candidates))
             if self._server_load.total_requests(candidates, now_s) + unreported >= room:
                 return None
+        if self.traffic.enabled and origin is not None and candidates:
+            all_candidates = len(candidates)
+            situation = self._situation(
+                candidates, excluded, queue_limit, slot_limit, unreported, ahead, now_s
+            )
+            candidates = self.traffic.select(origin, situation, now_s)
+            # Other fronts send to their own data centres, all together to all servers.
+            unreported *= len(candidates) / all_candidates
         return self._server_load.choose(
             candidates,
             excluded,
@@ -273,6 +330,35 @@
             slot_limit,
         )
 
+    def _situation(
+        self,
+        candidates: list[servers.ServerEntry],
+        excluded: Collection[ids.BackendServerId],
+        queue_limit: int,
+        slot_limit: float,
+        unreported: float,
+        ahead: int,
+        now_s: float,
+    ) -> traffic_control.Situation:
+        service = self._service()
+        return traffic_control.Situation(
+            service=service,
+            usable=[
+                entry
+                for entry in self._server_view.usable(service.name, now_s)
+                if not self._notice_board.is_leaving(entry.id)
+            ],
+            candidates=candidates,
+            excluded=excluded,
+            max_queued=queue_limit,
+            slot_limit=slot_limit,
+            reports_expected=_reports_load(service),
+            duration_s=self._queue.duration_s,
+            slot_share=self._slot_share(now_s),
+            ahead=ahead,
+            starts_in_transit=unreported,
+        )
+
     def _record_running(self, now_s: float) -> None:
         service = self._service()
         if service.engine is None:
