--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -156,6 +156,16 @@
     """Priority that overrides the route's, or None."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceTarget:
+    """What the answers to the most urgent requests of a service have to achieve."""
+
+    event_gap_s: float
+    """Shortest target of the service's routes for the gap between events, in seconds."""
+    most_urgent: int
+    """Priority of the most urgent routes."""
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutingTable:
     """One version of the operator's configuration."""
@@ -178,19 +188,32 @@
         return by_host
 
     @functools.cached_property
-    def target_event_gap_s_by_service(self) -> dict[ServiceName, float]:
-        """Shortest target for the gap between events of the routes of each service, in seconds.
+    def pace_target_by_service(self) -> dict[ServiceName, PaceTarget]:
+        """Target for the pace of each service whose routes differ in priority and state one."""
+        routes_by_service: dict[ServiceName, list[Route]] = {}
+        for route in self.routes:
+            if route.target_event_gap_s is not None:
+                for service, _ in route.weight_by_service:
+                    routes_by_service.setdefault(service, []).append(route)
+        return {
+            service: PaceTarget(
+                min(route.target_event_gap_s or 0.0 for route in routes),
+                min(route.priority for route in routes),
+            )
+            for service, routes in routes_by_service.items()
+            if len({route.priority for route in routes}) > 1
+        }
 
-        Services whose routes state no target are missing.
-        """
-        target_s_by_service: dict[ServiceName, float] = {}
+    @functools.cached_property
+    def prioritised_services(self) -> frozenset[ServiceName]:
+        """Services whose routes differ in priority."""
+        priorities_by_service: dict[ServiceName, set[int]] = {}
         for route in self.routes:
-            if route.target_event_gap_s is None:
-                continue
             for service, _ in route.weight_by_service:
-                known_s = target_s_by_service.get(service, route.target_event_gap_s)
-                target_s_by_service[service] = min(known_s, route.target_event_gap_s)
-        return target_s_by_service
+                priorities_by_service.setdefault(service, set()).add(route.priority)
+        return frozenset(
+            service for service, priorities in priorities_by_service.items() if len(priorities) > 1
+        )
 
     def match(self, host: str, path: str) -> Route | None:
         """Find the route of a request.
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -8,6 +8,7 @@
 import logging
 import math
 import random
+import sys
 from collections.abc import Callable, Collection, Iterable
 
 from gentianpaddle_core import ids
@@ -47,6 +48,8 @@
 
 _logger = logging.getLogger("gentianpaddle.requests")
 
+_LEAST_URGENT = request_queue.RequestGroup((sys.maxsize, sys.maxsize))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -55,6 +58,12 @@
     reason: str
     retry_after_s: float
     """Time after which the caller should retry."""
+    waiting: int | None = None
+    """Number of requests that wait at this front for the same service, or None if irrelevant."""
+    expected_wait_s: float | None = None
+    """Expected wait of a request of the same priority and organisation, in seconds, or None."""
+    newcomer_priority: int | None = None
+    """Priority of the request that displaced this one, or None if none did."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -64,8 +73,9 @@
     is_held: Callable[[], bool]
     """Returns whether the request may not be sent to any server."""
     origin: traffic_control.Origin
-    assigned_server: asyncio.Future[servers.ServerEntry | None]
-    """Assigned server, or None if the request expired in the queue or is held."""
+    assigned_server: asyncio.Future[servers.ServerEntry | Refusal | None]
+    """Assigned server, a refusal if the request was displaced, or None if it expired in the queue
+    or is held."""
 
 
 class ServiceQueue:
@@ -78,8 +88,8 @@
         cold_limits: Rate limits of servers in cold start.
         notice_board: What the servers say of themselves.
         front_count: Returns the number of fronts that share the servers, including this one.
-        pace: Limit on the requests that run at the service's engines.
-        target_event_gap_s: Returns the target for the gap between events, in seconds, or None.
+        pace: Limit on the less urgent requests that run at the service's engines.
+        pace_target: Returns what the limit is to achieve, or None if no limit applies.
         traffic: Decides which requests are sent to another data centre.
     """
 
@@ -92,13 +102,13 @@
         notice_board: server_notices.NoticeBoard,
         front_count: Callable[[], int],
         pace: pace_limit.PaceLimit,
-        target_event_gap_s: Callable[[], float | None],
+        pace_target: Callable[[], routes.PaceTarget | None],
         traffic: traffic_control.TrafficControl,
     ) -> None:
         self.traffic = traffic
         self._scanned_s = -math.inf
         self._pace = pace
-        self._target_event_gap_s = target_event_gap_s
+        self._pace_target = pace_target
         self._limited = False
         self._limit_logged_s = 0.0
         self._service = service
@@ -118,6 +128,7 @@
     async def acquire(
         self,
         route: routes.Route,
+        group: request_queue.RequestGroup,
         excluded: Collection[ids.BackendServerId],
         arrived_s: float,
         expires_at_s: float,
@@ -129,6 +140,7 @@
 
         Args:
             route: Route of the request.
+            group: Priority and organisation of the request.
             excluded: Servers that ran or may have run the request.
             arrived_s: Monotonic time at which the request arrived.
             expires_at_s: Monotonic time at which the request expires.
@@ -142,69 +154,102 @@
         """
         now_s = asyncio.get_running_loop().time()
         origin = traffic_control.Origin(route, arrived_s, traffic)
+        self._queue.record_arrival(group, now_s)
         if not self._queue:
-            chosen = self._choose_server(excluded, now_s, origin)
+            chosen = self._choose_server(excluded, now_s, origin, group)
             if chosen is not None:
+                self._queue.record_start(group, now_s)
                 return chosen
+        remaining_s = expires_at_s - now_s
         usable_servers = self._server_view.usable(self._service().name, now_s)
         if excluded and all(entry.id in excluded for entry in usable_servers):
-            return self._refusal("no other server", now_s)
+            return self._refusal("no other server", group, remaining_s, now_s)
         latest_start_s = self._queue.latest_start_s(expires_at_s, leaves_s)
         pause_s = self._notice_board.pause_s([entry.id for entry in usable_servers], now_s)
         if now_s + pause_s > latest_start_s and pause_s > 0.0:
             return Refusal("servers wait", pause_s)
-        slot_share = self._slot_share(now_s)
-        if now_s + self._queue.expected_wait_s(slot_share, expires_at_s) > latest_start_s:
-            return self._refusal("no place in time" if slot_share else "no server", now_s)
-        queued = _QueuedRequest(
-            excluded, is_held, origin, asyncio.get_running_loop().create_future()
-        )
-        self._queue.add(
-            request_queue.QueuedRequest(
-                queued,
-                arrived_s,
-                arrived_s + route.target_s - self._queue.first_event_allowance_s,
-                latest_start_s,
-                expires_at_s,
-            )
+        waiting = request_queue.QueuedRequest(
+            _QueuedRequest(excluded, is_held, origin, asyncio.get_running_loop().create_future()),
+            arrived_s,
+            arrived_s + route.target_s - self._queue.first_event_allowance_s,
+            latest_start_s,
+            expires_at_s,
+            group,
+            displaceable=not excluded,
         )
+        if not self._admit(waiting, now_s):
+            reason = "no place in time" if self._slot_share(now_s) else "no server"
+            return self._refusal(reason, group, remaining_s, now_s)
+        if self._slot_limit(group, now_s) > self._slot_limit(_LEAST_URGENT, now_s):
+            # Those that wait may be less urgent ones, to which the limit applies.
+            self.dispatch()
+        assigned_server = waiting.item.assigned_server
         try:
-            chosen = await queued.assigned_server
+            outcome = await assigned_server
         except asyncio.CancelledError:
-            self._queue.discard(queued)
-            if queued.assigned_server.done() and not queued.assigned_server.cancelled():
-                assigned_server = queued.assigned_server.result()
-                if assigned_server is not None:
-                    self._server_load.record_end(assigned_server.id)
+            self._queue.discard(waiting.item)
+            if assigned_server.done() and not assigned_server.cancelled():
+                assigned = assigned_server.result()
+                if isinstance(assigned, servers.ServerEntry):
+                    self._server_load.record_end(assigned.id)
+                    now_s = asyncio.get_running_loop().time()
+                    self._queue.record_end(group, None, now_s)
             raise
-        if chosen is None:
-            return self._refusal("no server had room in time", asyncio.get_running_loop().time())
-        return chosen
+        if outcome is None:
+            now_s = asyncio.get_running_loop().time()
+            reason = "no server had room in time"
+            return self._refusal(reason, group, expires_at_s - now_s, now_s)
+        return outcome
+
+    def _admit(self, newcomer: request_queue.QueuedRequest[_QueuedRequest], now_s: float) -> bool:
+        """Queue a request unless it cannot be served in time, and refuse those that it displaces.
+
+        Returns:
+            Whether the request was queued.
+        """
+        self._queue.add(newcomer)
+        slot_share = self._slot_share(now_s, newcomer.group)
+        removed = self._queue.pop_unservable(newcomer, slot_share, now_s)
+        for entry in removed:
+            if entry is newcomer or entry.item.assigned_server.done():
+                continue
+            refusal = self._refusal("displaced", entry.group, entry.expires_s - now_s, now_s)
+            entry.item.assigned_server.set_result(
+                dataclasses.replace(refusal, newcomer_priority=newcomer.group.priority)
+            )
+        return newcomer not in removed
 
-    def release(self, server: ids.BackendServerId, duration_s: float | None) -> None:
+    def release(
+        self,
+        server: ids.BackendServerId,
+        duration_s: float | None,
+        group: request_queue.RequestGroup,
+    ) -> None:
         """Release the server of a request that has ended, and dispatch queued requests.
 
         Args:
             server: Server returned by `acquire`.
             duration_s: Time that the server took, or None if it did not serve the request.
+            group: Priority and organisation of the request.
         """
         self._server_load.record_end(server)
-        if duration_s is not None:
-            self._queue.record_duration(duration_s)
+        self._queue.record_end(group, duration_s, asyncio.get_running_loop().time())
         self.dispatch()
 
-    def _slot_share(self, now_s: float) -> float:
-        """Return this front's share of the slots of all usable servers."""
+    def _slot_share(self, now_s: float, group: request_queue.RequestGroup | None = None) -> float:
+        """Return this front's share of the slots of all usable servers for a group."""
         usable_servers = self._server_view.usable(self._service().name, now_s)
-        slot_limit = self._slot_limit(now_s)
+        slot_limit = self._slot_limit(group, now_s)
         return sum(min(entry.slots, slot_limit) for entry in usable_servers) / self._front_count()
 
-    def _slot_limit(self, now_s: float) -> float:
-        """Return the mean number of slots per engine with which answers are fast enough."""
-        engine, target_s = self._service().engine, self._target_event_gap_s()
-        if engine is None or target_s is None:
+    def _slot_limit(self, group: request_queue.RequestGroup | None, now_s: float) -> float:
+        """Return the mean number of slots per engine that requests of a group may use."""
+        engine, target = self._service().engine, self._pace_target()
+        if engine is None or target is None or group is None:
             return math.inf
-        return self._pace.requests_per_engine(engine, target_s, now_s)
+        if group.priority <= target.most_urgent:
+            return math.inf
+        return self._pace.requests_per_engine(engine, target.event_gap_s, now_s)
 
     def dispatch(self) -> None:
         """Assign servers to queued requests and refuse those that have expired."""
@@ -212,19 +257,32 @@
         self._update_pace(now_s)
         self.traffic.tick(now_s)
         self._refuse(self._queue.pop_expired(now_s))
-        while (first := self._queue.next_to_start(now_s)) is not None:
-            chosen = self._choose_server(first.item.excluded, now_s, first.item.origin)
+        most_urgent: int | None = None
+        while (first := self._queue.next_to_start(now_s, most_urgent)) is not None:
+            item = first.item
+            chosen = self._choose_server(item.excluded, now_s, item.origin, first.group)
+            target = self._pace_target()
+            if chosen is None and most_urgent is None and target is not None:
+                # The limit may apply to the first request and not to the most urgent ones.
+                most_urgent = target.most_urgent
+                continue
             if chosen is None:
                 self._send_away(first, now_s)
                 return
             self._queue.remove_started(first)
-            self._assign(first.item, chosen)
+            self._assign(first, chosen, now_s)
 
-    def _assign(self, queued: _QueuedRequest, chosen: servers.ServerEntry) -> None:
-        if queued.assigned_server.done():
+    def _assign(
+        self,
+        entry: request_queue.QueuedRequest[_QueuedRequest],
+        chosen: servers.ServerEntry,
+        now_s: float,
+    ) -> None:
+        if entry.item.assigned_server.done():
             self._server_load.record_end(chosen.id)
         else:
-            queued.assigned_server.set_result(chosen)
+            self._queue.record_start(entry.group, now_s)
+            entry.item.assigned_server.set_result(chosen)
 
     def _send_away(self, first: request_queue.QueuedRequest[_QueuedRequest], now_s: float) -> None:
         """Send requests behind the first one, which waits, to another data centre if it pays.
@@ -241,10 +299,10 @@
         ]
         for ahead, entry in may_leave[:LEAVING_SCAN_LIMIT]:
             item = entry.item
-            chosen = self._choose_server(item.excluded, now_s, item.origin, ahead)
+            chosen = self._choose_server(item.excluded, now_s, item.origin, entry.group, ahead)
             if chosen is not None:
                 self._queue.discard(item)
-                self._assign(item, chosen)
+                self._assign(entry, chosen, now_s)
 
     def limit_end(self, end_s: float) -> None:
         """Refuse the queued requests that cannot be served until a time.
@@ -278,9 +336,10 @@
         excluded: Collection[ids.BackendServerId],
         now_s: float,
         origin: traffic_control.Origin,
+        group: request_queue.RequestGroup,
         ahead: int = 0,
     ) -> servers.ServerEntry | None:
-        chosen = self._find_server(excluded, now_s, origin, ahead)
+        chosen = self._find_server(excluded, now_s, origin, group, ahead)
         if chosen is None:
             return None
         self._server_load.record_start(chosen.id, now_s)
@@ -295,6 +354,7 @@
         excluded: Collection[ids.BackendServerId],
         now_s: float,
         origin: traffic_control.Origin | None = None,
+        group: request_queue.RequestGroup | None = None,
         ahead: int = 0,
     ) -> servers.ServerEntry | None:
         service = self._service()
@@ -314,7 +374,7 @@
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
         reports_load = _reports_load(service)
         unreported = self._unreported_requests(now_s) if engine is not None else 0.0
-        slot_limit = self._slot_limit(now_s)
+        slot_limit = self._slot_limit(group, now_s)
         if engine is not None and slot_limit < engine.slots:
             room = pace_limit.room(slot_limit, len(candidates))
             if self._server_load.total_requests(candidates, now_s) + unreported >= room:
@@ -373,7 +433,7 @@
             return
         pause_s = self._pace.pause_s(now_s)
         self._queue.expected_times = answer_times.at_pace(service.engine, pause_s)
-        limit = self._slot_limit(now_s)
+        limit = self._slot_limit(_LEAST_URGENT, now_s)
         limited = limit < service.engine.slots
         if limited != self._limited or (limited and now_s - self._limit_logged_s > LOG_INTERVAL_S):
             self._limited, self._limit_logged_s = limited, now_s
@@ -402,14 +462,21 @@
         rate_per_s = len(self._dispatch_times_s) / RATE_WINDOW_S
         return rate_per_s * (self._front_count() - 1) * placement.REPORT_VISIBILITY_DELAY_S
 
-    def _refusal(self, reason: str, now_s: float) -> Refusal:
+    def _refusal(
+        self, reason: str, group: request_queue.RequestGroup, remaining_s: float, now_s: float
+    ) -> Refusal:
         service = self._service()
         any_open = self._server_load.any_open(
             self._server_view.usable(service.name, now_s), _reports_load(service), now_s
         )
+        slot_share = self._slot_share(now_s, group)
         return Refusal(
             reason,
-            self._queue.retry_after_s(self._slot_share(now_s), any_open, random.random()),
+            self._queue.retry_after_s(
+                slot_share, any_open, random.random(), group, remaining_s, now_s
+            ),
+            len(self._queue),
+            self._queue.expected_wait_s(slot_share, group=group, now_s=now_s),
         )
 
 
