--- a/packages/core/src/gentianpaddle_core/serving/map_change.py
+++ b/packages/core/src/gentianpaddle_core/serving/map_change.py
@@ -39,9 +39,9 @@
 """Time after which a hold is rescued. Changes hold a group for about 0.1 s, and callers of streams
 leave after 2 s without an event."""
 
-MIN_LEAD_PASSES = 4
+MIN_LEAD_PASSES = 3
 """Minimum distance from the last pass that has begun to the held one. A pass takes 30 ms or more, a
-round of orders about 10 ms."""
+round of orders about 10 ms, and a change needs three rounds before the release."""
 
 RANKS_PER_LEAD_PASS = 24
 """Number of ranks per additional pass of lead. This many ranks lengthen a round of orders by about
--- a/packages/gateway/src/gentianpaddle_gateway/engine_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/engine_client.py
@@ -107,6 +107,14 @@
             return 0
         return answer.status
 
+    async def order(self, body: bytes) -> engine_state.OrderResult:
+        """Send an order to the engine and return its result.
+
+        Args:
+            body: Encoded order.
+        """
+        return _order_result(await self.send_order(body))
+
     async def read_count_increments(self) -> list[int]:
         """Read the number of tokens routed to each expert since the previous call.
 
@@ -142,7 +150,7 @@
         if target == LAYOUT_TARGET:
             return RankState(await self.read_layout(), None, [])
         if target == ORDERS_TARGET:
-            order_result = _order_result(await self.send_order(body))
+            order_result = await self.order(body)
         elif target == COUNTS_TARGET:
             counts = await self.read_count_increments()
         return RankState(await self.read_report(), order_result, counts)
--- a/packages/gateway/src/gentianpaddle_gateway/side_calls.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_calls.py
@@ -172,18 +172,22 @@
         member = call.member
         if member.vm == self._own.vm:
             return await self._engine.execute(call.target, call.body)
-        state = None
-        if not call.to_engine:
-            body = await self._send(member, call.target, call.body, SIDE_TIMEOUT_S)
-            state = _decode_state(body) if body is not None else None
-        if state is not None:
-            return state
-        if not call.engine_fallback or member.engine_address is None:
+        order_result: engine_state.OrderResult | None = None
+        target, body = call.target, call.body
+        if call.to_engine and member.engine_address is not None:
+            order_result = await self._engine_of(member.engine_address).order(body)
+            # A report that is read from another VM is 0.2 s old, that of the side process is not.
+            target, body = engine_client.STATE_TARGET, b""
+        answer = await self._send(member, target, body, SIDE_TIMEOUT_S)
+        state = _decode_state(answer) if answer is not None else None
+        if state is None and call.engine_fallback and member.engine_address is not None:
+            state = await self._engine_of(member.engine_address).execute(target, body)
+        if state is None:
             return engine_client.RankState(b"", engine_state.Unknown("silent"), [])
-        engine = self._engine_by_address.setdefault(
-            member.engine_address, engine_client.EngineClient(member.engine_address)
-        )
-        return await engine.execute(call.target, call.body)
+        return state if order_result is None else state._replace(order_result=order_result)
+
+    def _engine_of(self, address: str) -> engine_client.EngineClient:
+        return self._engine_by_address.setdefault(address, engine_client.EngineClient(address))
 
     async def _call_through_relay(
         self, calls: Sequence[Call]
