--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -20,6 +20,7 @@
 )
 from gentianpaddle_gateway import (
     background_tasks,
+    caller_limits,
     crash_messages,
     distribution,
     forwarder,
@@ -110,7 +111,15 @@
             self._broadcast,
             own_settings.data_centre_traffic,
         )
-        self._caller_server = http_server.Server(self._forwarder.handle, self._forwarder.limits)
+        self._caller_limits = caller_limits.CallerLimits(
+            own_settings.caller_limits, process_settings.machine_limits, self._metrics
+        )
+        self._caller_server = http_server.Server(
+            self._forwarder.handle,
+            self._forwarder.limits,
+            self._caller_limits,
+            self._forwarder.needs_body,
+        )
         self._registration = peers.Registration(
             self._members,
             objects.ObjectStore(
@@ -175,7 +184,12 @@
             await self._caller_server.listen(config.front_address)
 
     def _internal_server(self, handler: http_server.Handler) -> http_server.Server:
-        return http_server.Server(handler, lambda: routes.DEFAULT_CLIENT_LIMITS)
+        return http_server.Server(
+            handler,
+            lambda: routes.DEFAULT_CLIENT_LIMITS,
+            self._caller_limits,
+            http_server.needs_no_body,
+        )
 
     def _reload(self) -> None:
         """Read the settings file again and apply its bounds, except `grace_s`.
@@ -230,6 +244,8 @@
         self._metrics.set_gauge("waiting", self._forwarder.waiting_count())
         self._metrics.set_gauge("held_parts", self._forwarder.crash_watch.held_count)
         self._metrics.set_gauge("in_progress", self._caller_server.in_progress)
+        self._metrics.set_gauge("caller_bytes", self._caller_limits.memory.held_bytes)
+        self._metrics.set_gauge("connections", self._caller_limits.memory.connection_count)
         table = self._state.table
         self._metrics.set_gauge("configuration_version", table.version if table else 0)
         for (kind, purpose), count in self._store_calls.counts().items():
