Divide the free slots of contended engines by the demand of the fronts

Load reports are 0.13 to 0.25 s old, so all fronts see the same few free slots of nearly full engines and send to them at once.

The front does not use the decision yet.

--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -22,7 +22,7 @@
 from collections.abc import Collection, Sequence
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import servers
+from gentianpaddle_core.serving import free_slots, servers, water_filling
 
 REPORT_EXPIRY_S = 1.0
 """Age from which a report is ignored; reports arrive ten times as often."""
@@ -97,6 +97,8 @@
     share_rounding: float = 0.0
     """Random number, 0 to 1, that rounds this process's part of the free slots up or down. Drawn
     with each report, so that parts below one slot are used by some of the processes."""
+    reports: free_slots.ReportHistory = dataclasses.field(default_factory=free_slots.ReportHistory)
+    """What the reports say of free slots; used while the service is contended."""
     group_open: bool = True
     """Whether the server's group accepts requests."""
     slowness: float = 1.0
@@ -110,30 +112,44 @@
     failed_connections: int = 0
     """Number of connections in a row that could not be established."""
 
-    def estimated_requests(self, now_s: float) -> int:
+    def estimated_requests(self, now_s: float, contended: bool = False) -> int:
         """Return the estimated number of requests that the server has now.
 
         Args:
             now_s: Monotonic time in seconds.
+            contended: Whether to count what was sent while the last report was in transit.
         """
         if now_s - self.reported_s > REPORT_EXPIRY_S:
             return self.own_requests
+        if contended:
+            return self.reports.estimated_requests(self.own_requests)
         return max(
             self.own_requests,
             self.reported_requests + self.own_requests - self.own_requests_at_report,
         )
 
-    def has_share(self, capacity: int, process_count: int, now_s: float) -> bool:
+    def has_share(
+        self,
+        server: ids.BackendServerId,
+        capacity: int,
+        process_count: int,
+        part: free_slots.Part | None,
+        now_s: float,
+    ) -> bool:
         """Return whether this process may send one more request before the next report.
 
-        It may, except while the server's group opens. Requests of this process that ended since the
-        last report may be replaced even then.
+        It may, except while the server's group opens or the service is contended. Requests of this
+        process that ended since the last report may be replaced even then.
 
         Args:
+            server: The server.
             capacity: Number of requests that the server may have.
             process_count: Number of processes that read the same reports.
+            part: Part of this process while the service is contended, otherwise None.
             now_s: Monotonic time in seconds.
         """
+        if part is not None and now_s - self.reported_s <= REPORT_EXPIRY_S:
+            return part.allows(server, self.reports, self.own_requests, capacity, now_s)
         if now_s - self.opened_s > OPENING_S or process_count <= 1:
             return True
         free = max(0, capacity - self.reported_requests)
@@ -185,6 +201,7 @@
         load = self.load(server)
         if group_open and not (load.group_open and now_s - load.reported_s <= REPORT_EXPIRY_S):
             load.opened_s = now_s
+        load.reports.record(requests, load.own_requests, now_s)
         load.reported_requests, load.reported_s = requests, now_s
         load.own_requests_at_report = load.own_requests
         load.group_open, load.slowness = group_open, slowness
@@ -274,6 +291,7 @@
         unreported_requests: float = 0.0,
         process_count: int = 1,
         slot_limit: float = math.inf,
+        part: free_slots.Part | None = None,
     ) -> servers.ServerEntry | None:
         """Choose a server for a request.
 
@@ -289,6 +307,7 @@
             process_count: Number of processes that read the same reports, including this one.
             slot_limit: Mean number of slots per server that may be used; rounded up for each
                 server.
+            part: Part of this process while the service is contended, otherwise None.
 
         Returns:
             The server, or None if no server can take the request.
@@ -303,9 +322,11 @@
         available = []
         for entry in healthy or open_servers:
             load = self.load(entry.id)
-            requests = load.estimated_requests(now_s)
+            requests = load.estimated_requests(now_s, part is not None)
             capacity = math.ceil(min(slot_limit, entry.slots)) + max_queued
-            if requests >= capacity or not load.has_share(capacity, process_count, now_s):
+            if requests >= capacity:
+                continue
+            if not load.has_share(entry.id, capacity, process_count, part, now_s):
                 continue
             score = requests * load.slowness + FAILURE_PENALTY_REQUESTS * load.failure_ratio
             if entry.data_centre != self._data_centre:
@@ -314,7 +335,7 @@
             available.append(entry)
         if not available:
             return None
-        target_level = fill_level(scores, MIN_SPREAD_REQUESTS + unreported_requests)
+        target_level = water_filling.fill_level(scores, MIN_SPREAD_REQUESTS + unreported_requests)
         weights = [max(0.0, target_level - score) for score in scores]
         return self._random.choices(available, weights)[0]
 
@@ -327,6 +348,17 @@
         """
         return sum(self.load(entry.id).estimated_requests(now_s) for entry in candidates)
 
+    def usage(self, candidates: Collection[servers.ServerEntry], now_s: float) -> free_slots.Usage:
+        """Return the use of those servers whose reports are current.
+
+        Args:
+            candidates: The servers.
+            now_s: Monotonic time in seconds.
+        """
+        loads = [self.load(entry.id) for entry in candidates]
+        current = [load for load in loads if now_s - load.reported_s <= REPORT_EXPIRY_S]
+        return free_slots.usage([(load.reports, load.own_requests) for load in current])
+
     def any_open(
         self, candidates: Collection[servers.ServerEntry], reports_expected: bool, now_s: float
     ) -> bool:
@@ -355,26 +387,6 @@
         )
 
 
-def fill_level(loads: Sequence[float], amount: float) -> float:
-    """Return the water-filling level: the load that the least loaded servers reach together.
-
-    Args:
-        loads: Load by server; at least one.
-        amount: Load to spread over the servers, above 0.
-
-    Returns:
-        The level up to which the servers below it are filled.
-    """
-    filled = 0.0
-    ordered = sorted(loads)
-    for count, load in enumerate(ordered, 1):
-        filled += load
-        target_level = (filled + amount) / count
-        if count == len(ordered) or target_level <= ordered[count]:
-            return target_level
-    raise ValueError("loads must not be empty")
-
-
 def new_placement(data_centre: ids.DataCentreId, seed: int, now_s: float) -> Placement:
     """Create a placement without known loads.
 
