Add a command that checks and compares configurations of a platform

A mistake in the operator's configuration was found only when it was in force: a front takes a document as a whole or not at all, and an entry that never matches is not visible anywhere. `gentianpaddle config check FILE [--against FILE]` reports what cannot be read with its place, entries that never match, limits that exclude each other, and what differs from another document, as tables or JSON.

--- a/packages/command/src/gentianpaddle_command/main.py
+++ b/packages/command/src/gentianpaddle_command/main.py
@@ -1,8 +1,8 @@
 """Command line for operators and owners.
 
 Exit codes: 0 success; 1 a target was missed, a request was harmed, or not all VMs confirmed a
-change; 2 invalid usage; 3 invalid declaration; 4 rejected or in conflict, nothing changed; 5
-unknown whether anything changed; 6 no entry could be reached.
+change; 2 invalid usage; 3 invalid declaration, or findings in a configuration; 4 rejected or in
+conflict, nothing changed; 5 unknown whether anything changed; 6 no entry could be reached.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 import click
 
-from gentianpaddle_command import client
+from gentianpaddle_command import client, config
 from gentianpaddle_core import declarations
 
 CONFIRMATION_POLL_INTERVAL_S = 0.25
@@ -48,8 +48,8 @@
     """Set targets, take data centres or VMs out and back, and read whether targets were met.
 
     Exit codes: 0 success, 1 a target was missed, a request was harmed, or not all VMs confirmed
-    a change, 2 invalid usage, 3 invalid declaration, 4 rejected or in conflict (nothing changed),
-    5 unknown whether anything changed, 6 no entry could be reached.
+    a change, 2 invalid usage, 3 invalid declaration or findings in a configuration, 4 rejected or
+    in conflict (nothing changed), 5 unknown whether anything changed, 6 no entry could be reached.
     """
     context.obj = _Session(client.new_client(entries, token), as_json)
 
@@ -228,3 +228,24 @@
     from gentianpaddle_command import demo as demo_run  # needs the extra `demo`
 
     sys.exit(demo_run.run(seconds, pathlib.Path(output)))
+
+
+@main.group(name="config")
+def config_group() -> None:
+    """Work with the configuration of a platform."""
+
+
+@config_group.command(name="check")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path))
+@click.option(
+    "--against",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help="Another configuration; shows what differs from it.",
+)
+@click.pass_obj
+def check_config(session: _Session, file: pathlib.Path, against: pathlib.Path | None) -> None:
+    """Check a configuration document (JSON): mistakes, unreachable entries, contradictions."""
+    found = config.run(file, against)
+    session.print_output(found.payload(), found.text())
+    if found.findings:
+        sys.exit(ExitCode.INVALID_DECLARATION)
