Say when the fixed penalty for another data centre decides

The placement keeps the penalty for the default; the comment at the constant did not name the alternative. Only a comment changes. pytest packages/core/tests/test_serving_decisions.py and test_placement_replay.py were run again and pass.

--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -77,7 +77,8 @@
 
 REMOTE_PENALTY_REQUESTS = 0.25
 """Number of requests added to the load of a server in another data centre, for the traffic between
-the data centres."""
+the data centres. It decides unless `data_centre_traffic` is enabled, which chooses the data centre
+before the server."""
 
 
 @dataclasses.dataclass(slots=True)
