--- a/packages/gateway/tests/test_store_calls.py
+++ b/packages/gateway/tests/test_store_calls.py
@@ -25,25 +25,44 @@
 
 
 @pytest.mark.parametrize(
-    ("call", "answer", "kind", "count"),
+    ("call", "answer", "expected"),
     [
-        (lambda store: store.list("k"), objects.Response(503, b""), "read", 1),
-        (lambda store: store.list("k", True), objects.Unavailable("lost"), "stale_read", 1),
-        (lambda store: store.watch("k", 1, 1.0), objects.Response(410, b""), "watch", 1),
-        (lambda store: store.put("k", "n", {}), objects.Response(409, b""), "write", 2),
-        (lambda store: store.delete("k", "n"), objects.Response(404, b""), "delete", 1),
+        (
+            lambda store: store.list("k"),
+            objects.Response(503, b""),
+            {(objects.CallKind.READ, "p"): 1},
+        ),
+        (
+            lambda store: store.list("k", allow_stale=True),
+            objects.Unavailable("lost"),
+            {(objects.CallKind.STALE_READ, "p"): 1},
+        ),
+        (
+            lambda store: store.watch("k", 1, 1.0),
+            objects.Response(410, b""),
+            {(objects.CallKind.WATCH, "p"): 1},
+        ),
+        (
+            lambda store: store.put("k", "n", {}),
+            objects.Response(409, b""),
+            {(objects.CallKind.WRITE, "p"): 2},
+        ),
+        (
+            lambda store: store.delete("k", "n"),
+            objects.Response(404, b""),
+            {(objects.CallKind.DELETE, "p"): 1},
+        ),
     ],
 )
 def test_each_charged_call_is_counted(
     call: typing.Callable[[objects.ObjectStore], typing.Coroutine[typing.Any, typing.Any, object]],
     answer: objects.Response | objects.Unavailable,
-    kind: str,
-    count: int,
+    expected: dict[tuple[objects.CallKind, str], int],
 ) -> None:
     """Guards against charged calls that no count shows, also refused and failed ones."""
     calls = store_calls.StoreCalls()
     asyncio.run(call(objects.ObjectStore(_Transport(answer), 1.0, "p", calls)))  # type: ignore[arg-type]
-    assert calls.counts() == {(objects.CallKind(kind), "p"): count}
+    assert calls.counts() == expected
 
 
 def test_counts_are_logged_and_shown_as_metric(
