Pass priorities and organisations to the queues of a front and to engines

Cause: `priority` of routes and organisations was decoded but not used.

Change: a request waits with the priority of its organisation, or else of its route, and keeps it if the configuration changes. A displaced request gets 503 with a Retry-After for its own priority, at most a third of the time that its caller has left. Requests to engines of a service whose routes differ in priority carry X-Gentianpaddle-Request-Priority; a caller's own value is removed there. A priority of an organisation that is no integer is ignored. New metrics of the queues by route and organisation (40 labels), and inputs of the decision in `refused` lines.

In test_request_priority, a refused or displaced request and the header at a stand-in engine are checked; the forged value 0 reaches the engine only where the routes do not differ.

--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -184,6 +184,17 @@
                 target_s_by_service[service] = min(known_s, route.target_event_gap_s)
         return target_s_by_service
 
+    @functools.cached_property
+    def prioritised_services(self) -> frozenset[ServiceName]:
+        """Services whose routes differ in priority."""
+        priorities_by_service: dict[ServiceName, set[int]] = {}
+        for route in self.routes:
+            for service, _ in route.weight_by_service:
+                priorities_by_service.setdefault(service, set()).add(route.priority)
+        return frozenset(
+            service for service, priorities in priorities_by_service.items() if len(priorities) > 1
+        )
+
     def match(self, host: str, path: str) -> Route | None:
         """Find the route of a request.
 
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import attempts, crash_records, event_stream, routes, servers
+from gentianpaddle_core.serving import (
+    attempts,
+    crash_records,
+    event_stream,
+    request_queue,
+    routes,
+    servers,
+)
 from gentianpaddle_gateway import http_client, http_server, silence_watch
 from gentianpaddle_platform import headers
 
@@ -35,6 +42,10 @@
     service: routes.Service
     organisation: str | None
     """Organisation of the caller's key; None if the request needs no key."""
+    group: request_queue.RequestGroup
+    """Priority and organisation, by which the request waits for a server."""
+    engine_priority: int | None
+    """Priority that is stated to the engine, or None to state none."""
     causes: crash_records.RequestCauses
     """What may make the request crash servers."""
     answer_began: Callable[[], None]
@@ -165,6 +176,7 @@
         context.remaining_s(),
         context.reader.last_id,
         len(request.body) if request.has_body else None,
+        context.engine_priority,
     )
     context.sent_s = asyncio.get_running_loop().time()
     context.answer_stage = attempts.AnswerStage.NOTHING
--- a/packages/gateway/src/gentianpaddle_gateway/caller_responses.py
+++ b/packages/gateway/src/gentianpaddle_gateway/caller_responses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 
 from gentianpaddle_core.serving import attempts, routes, servers
 from gentianpaddle_gateway import (
@@ -78,6 +79,7 @@
         retry_after_s: float,
         route: str = "",
         arrived_s: float | None = None,
+        inputs: Mapping[str, str | int | float | None] | None = None,
     ) -> None:
         """Refuse a request that has not run and will not run.
 
@@ -88,18 +90,21 @@
             retry_after_s: Time after which the caller should retry.
             route: Name of the route; empty if none was found.
             arrived_s: Monotonic time at which the request arrived, or None.
+            inputs: Further inputs of the decision, written to the log.
         """
         self._metrics.count_request(route, "refused")
         now_s = asyncio.get_running_loop().time()
         log.event(
             _logger,
             "refused",
+            logging.INFO,
             request=head.request_id,
             route=route,
             reason=reason,
             retry_after_s=retry_after_s,
             after_ms=(now_s - arrived_s) * 1000.0 if arrived_s is not None else 0.0,
             version=self._state.table.version if self._state.table is not None else None,
+            **(inputs or {}),
         )
         await responder.respond(503, [headers.encode_retry_after(retry_after_s)], b"")
 
@@ -133,6 +138,7 @@
             refusal.retry_after_s,
             context.route.name,
             context.request.arrived_s,
+            _queue_inputs(context, refusal),
         )
 
     async def send_failure(
@@ -212,3 +218,18 @@
             runs=context.history.runs,
             after_ms=(asyncio.get_running_loop().time() - context.request.arrived_s) * 1000.0,
         )
+
+
+def _queue_inputs(
+    context: attempt.RequestContext, refusal: service_queue.Refusal
+) -> dict[str, str | int | float | None]:
+    """Return what the queue of a service knew when it refused a request."""
+    inputs: dict[str, str | int | float | None] = {
+        "priority": context.group.priority,
+        "organisation": context.organisation,
+        "waiting": refusal.waiting,
+        "expected_wait_s": refusal.expected_wait_s,
+    }
+    if refusal.newcomer_priority is not None:
+        inputs["newcomer_priority"] = refusal.newcomer_priority
+    return inputs
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -17,6 +17,7 @@
     placement,
     planned_stop,
     rates,
+    request_queue,
     routes,
     servers,
     silence,
@@ -170,7 +171,7 @@
             if found is None:
                 await self._responses.deny(head, responder, 401, "unknown_key", table)
                 return
-            organisation = found.id
+            organisation = found
         service = table.service_by_name.get(route.service_for(random.random()))
         if service is None:
             await self._responses.refuse(
@@ -191,7 +192,9 @@
                 request.arrived_s,
             )
             return
-        context = self._new_context(request, head, route, service, organisation, expires_at_s)
+        context = self._new_context(
+            request, head, route, service, organisation, expires_at_s, table
+        )
         try:
             await self._serve(context, responder)
         except asyncio.CancelledError:
@@ -213,10 +216,13 @@
         head: headers.RequestHead,
         route: routes.Route,
         service: routes.Service,
-        organisation: str | None,
+        organisation: routes.Organisation | None,
         expires_at_s: float,
+        table: routes.RoutingTable,
     ) -> attempt.RequestContext:
         causes = crash_watch.request_causes(request, head)
+        group = _request_group(route, organisation)
+        states_priority = service.engine is not None and service.name in table.prioritised_services
         return attempt.RequestContext(
             request=request,
             causes=causes,
@@ -227,7 +233,9 @@
             head=head,
             route=route,
             service=service,
-            organisation=organisation,
+            organisation=group.organisation,
+            group=group,
+            engine_priority=group.priority if states_priority else None,
             expires_at_s=expires_at_s,
             reader=event_stream.EventReader(head.last_event_id),
         )
@@ -242,6 +250,11 @@
         last_outcome: attempt.AttemptOutcome | None = None
         while True:
             chosen = await self._acquire_server(context, queue, excluded)
+            self._metrics.count_admission(
+                context.route.name,
+                context.organisation,
+                chosen.reason if isinstance(chosen, service_queue.Refusal) else "started",
+            )
             if isinstance(chosen, service_queue.Refusal):
                 await self._responses.end_without_server(context, responder, chosen, last_outcome)
                 return
@@ -260,7 +273,7 @@
             finally:
                 duration_s = asyncio.get_running_loop().time() - attempt_started_s
                 served = isinstance(outcome, attempt.Served)
-                queue.release(chosen.id, duration_s if served else None)
+                queue.release(chosen.id, duration_s if served else None, context.group)
             context.current_server = None
             self._record_outcome(context, chosen, outcome)
             last_outcome = outcome
@@ -292,20 +305,22 @@
 
         chosen: servers.ServerEntry | service_queue.Refusal | None = None
         if held() is None:
-            chosen = await queue.acquire(
-                context.route,
-                excluded,
-                context.request.arrived_s,
-                min(context.expires_at_s, work_ends_s),
-                context.caller_leaves_s(),
-                lambda: held() is not None,
-            )
+            with self._metrics.waiting(context.route.name, context.organisation):
+                chosen = await queue.acquire(
+                    context.route,
+                    context.group,
+                    excluded,
+                    context.request.arrived_s,
+                    min(context.expires_at_s, work_ends_s),
+                    context.caller_leaves_s(),
+                    lambda: held() is not None,
+                )
         reason = held()
         if reason is None:
             assert chosen is not None
             return chosen
         if isinstance(chosen, servers.ServerEntry):
-            queue.release(chosen.id, None)
+            queue.release(chosen.id, None, context.group)
         log.event(
             _logger,
             "held",
@@ -454,3 +469,12 @@
                 self._bounds.retry_window_s,
             )
         return budget
+
+
+def _request_group(
+    route: routes.Route, organisation: routes.Organisation | None
+) -> request_queue.RequestGroup:
+    if organisation is None:
+        return request_queue.RequestGroup((route.priority, route.priority))
+    priority = route.priority if organisation.priority is None else organisation.priority
+    return request_queue.RequestGroup((priority, route.priority), organisation.id)
--- a/packages/gateway/src/gentianpaddle_gateway/metrics.py
+++ b/packages/gateway/src/gentianpaddle_gateway/metrics.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Iterator
+
 import aioprometheus
 from aioprometheus import renderer
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, float("inf"))
 """Upper bounds of the histogram buckets, in seconds."""
 
+ORGANISATION_LABEL_LIMIT = 40
+"""Maximum number of organisations with a label of their own, in the order of their first requests;
+the others share one. With ten routes and as many outcomes, this gives at most 4,000 lines."""
+
+OTHER_ORGANISATIONS = "other"
+
 
 class Metrics:
     """Metrics of one process, kept in a registry of their own."""
@@ -25,6 +34,17 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        self._admissions = aioprometheus.Counter(
+            "gentianpaddle_front_admissions_total",
+            "Requests started at a server, refused or displaced, by route and organisation",
+            registry=self._registry,
+        )
+        self._waiting = aioprometheus.Gauge(
+            "gentianpaddle_front_waiting_requests",
+            "Requests that wait for a server, by route and organisation",
+            registry=self._registry,
+        )
+        self._organisations: set[str] = set()
         self._gauges = aioprometheus.Gauge(
             "gentianpaddle_front_state", "Present state by name", registry=self._registry
         )
@@ -48,6 +68,40 @@
         """
         self._first_event.observe({"route": route}, latency_s)
 
+    def count_admission(self, route: str, organisation: str | None, outcome: str) -> None:
+        """Increment the counter of decisions of the request queues.
+
+        Args:
+            route: Name of the request's route.
+            organisation: Organisation of the request, or None.
+            outcome: "started", or the reason of a refusal.
+        """
+        labels = {"route": route, "organisation": self._organisation_label(organisation)}
+        self._admissions.inc({**labels, "outcome": outcome})
+
+    @contextlib.contextmanager
+    def waiting(self, route: str, organisation: str | None) -> Iterator[None]:
+        """Count a request as waiting while the context is active.
+
+        Args:
+            route: Name of the request's route.
+            organisation: Organisation of the request, or None.
+        """
+        labels = {"route": route, "organisation": self._organisation_label(organisation)}
+        self._waiting.inc(labels)
+        try:
+            yield
+        finally:
+            self._waiting.dec(labels)
+
+    def _organisation_label(self, organisation: str | None) -> str:
+        if organisation is None or organisation in self._organisations:
+            return organisation or ""
+        if len(self._organisations) >= ORGANISATION_LABEL_LIMIT:
+            return OTHER_ORGANISATIONS
+        self._organisations.add(organisation)
+        return organisation
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge.
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -43,6 +43,12 @@
     reason: str
     retry_after_s: float
     """Time after which the caller should retry."""
+    waiting: int | None = None
+    """Number of requests that wait at this front for the same service, or None if irrelevant."""
+    expected_wait_s: float | None = None
+    """Expected wait of a request of the same priority and organisation, in seconds, or None."""
+    newcomer_priority: int | None = None
+    """Priority of the request that displaced this one, or None if none did."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -51,8 +57,9 @@
     """Servers that ran or may have run the request."""
     is_held: Callable[[], bool]
     """Returns whether the request may not be sent to any server."""
-    assigned_server: asyncio.Future[servers.ServerEntry | None]
-    """Assigned server, or None if the request expired in the queue or is held."""
+    assigned_server: asyncio.Future[servers.ServerEntry | Refusal | None]
+    """Assigned server, a refusal if the request was displaced, or None if it expired in the queue
+    or is held."""
 
 
 class ServiceQueue:
@@ -99,6 +106,7 @@
     async def acquire(
         self,
         route: routes.Route,
+        group: request_queue.RequestGroup,
         excluded: Collection[ids.BackendServerId],
         arrived_s: float,
         expires_at_s: float,
@@ -109,6 +117,7 @@
 
         Args:
             route: Route of the request.
+            group: Priority and organisation of the request.
             excluded: Servers that ran or may have run the request.
             arrived_s: Monotonic time at which the request arrived.
             expires_at_s: Monotonic time at which the request expires.
@@ -120,53 +129,82 @@
             `release` for the server.
         """
         now_s = asyncio.get_running_loop().time()
+        self._queue.record_arrival(group, now_s)
         if not self._queue:
             chosen = self._choose_server(excluded, now_s)
             if chosen is not None:
+                self._queue.record_start(group, now_s)
                 return chosen
+        remaining_s = expires_at_s - now_s
         usable_servers = self._server_view.usable(self._service().name, now_s)
         if excluded and all(entry.id in excluded for entry in usable_servers):
-            return self._refusal("no other server", now_s)
+            return self._refusal("no other server", group, remaining_s, now_s)
         latest_start_s = self._queue.latest_start_s(expires_at_s, leaves_s)
         pause_s = self._notice_board.pause_s([entry.id for entry in usable_servers], now_s)
         if now_s + pause_s > latest_start_s and pause_s > 0.0:
             return Refusal("servers wait", pause_s)
-        slot_share = self._slot_share(now_s)
-        if now_s + self._queue.expected_wait_s(slot_share, expires_at_s) > latest_start_s:
-            return self._refusal("no place in time" if slot_share else "no server", now_s)
-        queued = _QueuedRequest(excluded, is_held, asyncio.get_running_loop().create_future())
-        self._queue.add(
-            request_queue.QueuedRequest(
-                queued,
-                arrived_s,
-                arrived_s + route.target_s - request_queue.FIRST_EVENT_ALLOWANCE_S,
-                latest_start_s,
-                expires_at_s,
-            )
+        waiting = request_queue.QueuedRequest(
+            _QueuedRequest(excluded, is_held, asyncio.get_running_loop().create_future()),
+            arrived_s,
+            arrived_s + route.target_s - request_queue.FIRST_EVENT_ALLOWANCE_S,
+            latest_start_s,
+            expires_at_s,
+            group,
+            displaceable=not excluded,
         )
+        if not self._admit(waiting, now_s):
+            reason = "no place in time" if self._slot_share(now_s) else "no server"
+            return self._refusal(reason, group, remaining_s, now_s)
+        assigned_server = waiting.item.assigned_server
         try:
-            chosen = await queued.assigned_server
+            outcome = await assigned_server
         except asyncio.CancelledError:
-            self._queue.discard(queued)
-            if queued.assigned_server.done() and not queued.assigned_server.cancelled():
-                assigned_server = queued.assigned_server.result()
-                if assigned_server is not None:
-                    self._server_load.record_end(assigned_server.id)
+            self._queue.discard(waiting.item)
+            if assigned_server.done() and not assigned_server.cancelled():
+                assigned = assigned_server.result()
+                if isinstance(assigned, servers.ServerEntry):
+                    self._server_load.record_end(assigned.id)
+                    now_s = asyncio.get_running_loop().time()
+                    self._queue.record_end(group, None, now_s)
             raise
-        if chosen is None:
-            return self._refusal("no server had room in time", asyncio.get_running_loop().time())
-        return chosen
+        if outcome is None:
+            now_s = asyncio.get_running_loop().time()
+            reason = "no server had room in time"
+            return self._refusal(reason, group, expires_at_s - now_s, now_s)
+        return outcome
+
+    def _admit(self, newcomer: request_queue.QueuedRequest[_QueuedRequest], now_s: float) -> bool:
+        """Queue a request unless it cannot be served in time, and refuse those that it displaces.
+
+        Returns:
+            Whether the request was queued.
+        """
+        self._queue.add(newcomer)
+        removed = self._queue.pop_unservable(newcomer, self._slot_share(now_s), now_s)
+        for entry in removed:
+            if entry is newcomer or entry.item.assigned_server.done():
+                continue
+            refusal = self._refusal("displaced", entry.group, entry.expires_s - now_s, now_s)
+            entry.item.assigned_server.set_result(
+                dataclasses.replace(refusal, newcomer_priority=newcomer.group.priority)
+            )
+        return newcomer not in removed
 
-    def release(self, server: ids.BackendServerId, duration_s: float | None) -> None:
+    def release(
+        self,
+        server: ids.BackendServerId,
+        duration_s: float | None,
+        group: request_queue.RequestGroup,
+    ) -> None:
         """Release the server of a request that has ended, and dispatch queued requests.
 
         Args:
             server: Server returned by `acquire`.
             duration_s: Time that the server took, or None if it did not serve the request.
+            group: Priority and organisation of the request.
         """
         self._server_load.record_end(server)
-        if duration_s is not None:
-            self._queue.record_duration(duration_s)
+        self._queue.record_end(group, duration_s, asyncio.get_running_loop().time())
         self.dispatch()
 
     def _slot_share(self, now_s: float) -> float:
@@ -195,6 +233,7 @@
             if first.item.assigned_server.done():
                 self._server_load.record_end(chosen.id)
             else:
+                self._queue.record_start(first.group, now_s)
                 first.item.assigned_server.set_result(chosen)
 
     def limit_end(self, end_s: float) -> None:
@@ -292,14 +331,21 @@
         rate_per_s = len(self._dispatch_times_s) / RATE_WINDOW_S
         return rate_per_s * (self._front_count() - 1) * placement.REPORT_VISIBILITY_DELAY_S
 
-    def _refusal(self, reason: str, now_s: float) -> Refusal:
+    def _refusal(
+        self, reason: str, group: request_queue.RequestGroup, remaining_s: float, now_s: float
+    ) -> Refusal:
         service = self._service()
         any_open = self._server_load.any_open(
             self._server_view.usable(service.name, now_s), _reports_load(service), now_s
         )
+        slot_share = self._slot_share(now_s)
         return Refusal(
             reason,
-            self._queue.retry_after_s(self._slot_share(now_s), any_open, random.random()),
+            self._queue.retry_after_s(
+                slot_share, any_open, random.random(), group, remaining_s, now_s
+            ),
+            len(self._queue),
+            self._queue.expected_wait_s(slot_share, group=group, now_s=now_s),
         )
 
 
