Bound what is kept of a server's reports, and shorten the replay

A report may hold up to 65,535 requests; the times for which reports show a free slot are now kept for up to 256 requests. The first report of a server starts these times: they counted from 0 of the monotonic clock, which differs between VMs, so that fronts derived different offers. The replay builds its engines in fewer lines and checks the same.

--- a/packages/core/src/gentianpaddle_core/serving/free_slots.py
+++ b/packages/core/src/gentianpaddle_core/serving/free_slots.py
@@ -30,6 +30,10 @@
 """Interval between two offers of the same slot. Reports show within 0.25 s that a slot was taken at
 the end of an offer, and reach some fronts 0.05 s later than others."""
 
+MAX_TRACKED = 256
+"""Number of requests up to which the time since a report showed fewer is kept. Engines have a few
+slots; a report may hold any number up to 65,535."""
+
 OVERSHARE_RATIO = 1.25
 """Requests in progress relative to the share from which a front no longer replaces those that end.
 The measured demand of a front with eight requests per second varies by a third."""
@@ -42,7 +46,7 @@
     """What the last reports of a server say of its free slots."""
 
     def __init__(self) -> None:
-        self._requests = 0
+        self._requests = MAX_TRACKED
         self._since_s_by_requests: dict[int, float] = {}
         """Time since which the reports show at most this number of requests."""
         self.own_requests = (0, 0)
@@ -56,9 +60,10 @@
             own_requests: Number of requests of this front at the server now.
             now_s: Monotonic time in seconds.
         """
-        for number in range(requests, self._requests):
+        tracked, previous = (min(item, MAX_TRACKED) for item in (requests, self._requests))
+        for number in range(tracked, previous):
             self._since_s_by_requests[number] = now_s
-        for number in range(self._requests, requests):
+        for number in range(previous, tracked):
             self._since_s_by_requests.pop(number, None)
         self._requests = requests
         self.own_requests = (self.own_requests[1], own_requests)
@@ -98,7 +103,7 @@
             capacity: Number of requests that the server may have; more than the reports show.
             now_s: Monotonic time in seconds.
         """
-        return now_s - self._since_s_by_requests.get(capacity - 1, 0.0)
+        return now_s - self._since_s_by_requests.get(min(capacity, MAX_TRACKED) - 1, now_s)
 
 
 class Usage(typing.NamedTuple):
--- a/packages/core/tests/test_room_share_replay.py
+++ b/packages/core/tests/test_room_share_replay.py
@@ -25,18 +25,11 @@
 RETRY_RATIO = 0.2
 WARM_UP_S, END_S = 2.0, 6.0
 SERVICE = routes.ServiceName("s")
+IDS = [ids.BackendServerId(f"i-{number}") for number in range(ENGINES)]
+CENTRES = [ids.DataCentreId(name) for name in "abc"]
 ENTRIES = [
-    servers.ServerEntry(
-        id=ids.BackendServerId(f"i-{number}"),
-        service=SERVICE,
-        address=f"10.0.0.{number}:80",
-        data_centre=ids.DataCentreId("abc"[number % 3]),
-        slots=SLOTS,
-        draining=False,
-        started_ms=0,
-        cold_ms=0.0,
-    )
-    for number in range(ENGINES)
+    servers.ServerEntry(item, SERVICE, "10.0.0.1:80", CENTRES[number % 3], SLOTS, False, 0, 0.0)
+    for number, item in enumerate(IDS)
 ]
 
 
@@ -61,8 +54,8 @@
 
     def __init__(self, number: int, scenario: Scenario) -> None:
         self.vm = ids.VmId(f"f{number}")
-        data_centre = ids.DataCentreId("abc"[number % 3])
-        self.placement = placement.new_placement(data_centre, scenario.seed * 100 + number, 0.0)
+        seed = scenario.seed * 100 + number
+        self.placement = placement.new_placement(CENTRES[number % 3], seed, 0.0)
         self.demand = room_share.ServiceDemand()
         self.table = room_share.DemandTable(self.vm)
         self.waiting: collections.deque[float] = collections.deque()
@@ -77,7 +70,7 @@
         self.scenario, self.random = scenario, random.Random(scenario.seed)
         self.fronts = [Front(number, scenario) for number in range(FRONTS)]
         self.sizes = [self.random.lognormvariate(0.0, 0.6) for _ in self.fronts]
-        self.running = dict.fromkeys((entry.id for entry in ENTRIES), 0)
+        self.running = dict.fromkeys(IDS, 0)
         self.counts: collections.Counter[str] = collections.Counter()
         self.first_outcome: str | None = None
         self.peak = 0
@@ -96,8 +89,8 @@
             self.at(0.0, "arrive", number)
             self.at(draw() * HEARTBEAT_S, "beat", front)
             self.at(draw() * 0.05, "tick", front)
-        for entry in ENTRIES:
-            self.at(draw() * REPORT_INTERVAL_S, "read", entry.id)
+        for server in IDS:
+            self.at(draw() * REPORT_INTERVAL_S, "read", server)
         last_s = 0.0
         while (event := heapq.heappop(self.events))[0] < END_S:
             now_s, _, kind, payload = event
