Announce demand with heartbeats and divide engine capacity by it

Fronts computed the expected wait, refusals and Retry-After from an equal part of the slots, although demand differs between them, and all of them sent to the same free slots of nearly full engines.

The heartbeat carries the demand for up to eight services inside the entry of the VM, where the decoder of earlier versions ignores it. ServiceQueue uses the share of this front for the expected wait, and while the service is contended for the placement and for the room under the limit on running requests. An uncontended service is placed as before.

Tests: pytest test_demand_exchange, test_distribution, test_operations_page and test_reference_docs 47 passed; test_front_process 20 passed. test_planned_stop, test_silent_servers and the other process tests were not run.

--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -25,6 +25,7 @@
     attempt,
     caller_responses,
     crash_watch,
+    demand_exchange,
     engine_checks,
     http_client,
     http_server,
@@ -74,6 +75,7 @@
         self.crash_watch = crash_watch.CrashWatch(broadcast, self._refuse_held)
         self.engine_checks = engine_checks.EngineChecks(state.servers.address)
         self.notices = notice_exchange.NoticeExchange(member_view, broadcast)
+        self.demand = demand_exchange.DemandExchange(member_view, process_metrics)
         self._state = state
         self._server_load = server_load
         self._bounds = process_settings.bounds
@@ -121,6 +123,15 @@
         for queue in self._queue_by_service.values():
             queue.dispatch()
 
+    def announce_demand(self, now_s: float) -> dict[routes.ServiceName, float]:
+        """Return the demand that is sent with the next heartbeat.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        waiting = {name: queue.waiting_count for name, queue in self._queue_by_service.items()}
+        return self.demand.announce(waiting, now_s)
+
     def begin_stop(self, stop: planned_stop.PlannedStop) -> None:
         """Refuse the requests that cannot be served before the process stops.
 
@@ -396,7 +407,9 @@
         elif result.misdirected:
             self._state.servers.mark_replaced(server.id)
         elif result.arrived:
-            self._server_load.record_declined(server.id, asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            self._server_load.record_declined(server.id, now_s)
+            self.demand.room(context.service.name).record_rejected(now_s)
         else:
             self._server_load.record_unreachable(server.id, asyncio.get_running_loop().time())
         log.event(
@@ -430,6 +443,7 @@
                 self._front_count,
                 self._progress(service).pace,
                 lambda: self._target_event_gap_s(service),
+                self.demand.room(service),
             )
         return queue
 
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -259,6 +259,7 @@
             log.event(_logger, "front_alive", member=heartbeat.member.vm)
         self._members.record_heartbeat(heartbeat.member, heartbeat.serving, now_s)
         self._collectors.record(heartbeat.member, heartbeat.collecting, now_s)
+        self._forwarder.demand.receive(heartbeat, now_s)
         if not self._state.is_outdated(heartbeat.revisions):
             return
         if self._outdated_since_s is None:
@@ -307,6 +308,7 @@
                 table.version if table is not None else 0,
                 self._state.revisions(),
                 self._collecting,
+                self._forwarder.announce_demand(now_s),
             )
         )
         if to_each:
--- a/packages/gateway/src/gentianpaddle_gateway/metrics.py
+++ b/packages/gateway/src/gentianpaddle_gateway/metrics.py
@@ -25,6 +25,21 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        self._rejected = aioprometheus.Counter(
+            "gentianpaddle_front_rejected_total",
+            "Requests that a server rejected without running them, by service",
+            registry=self._registry,
+        )
+        self._demand = aioprometheus.Gauge(
+            "gentianpaddle_front_demand",
+            "Requests of the last second, or waiting ones if more, by service",
+            registry=self._registry,
+        )
+        self._share = aioprometheus.Gauge(
+            "gentianpaddle_front_share",
+            "Share of this front in the slots of a service",
+            registry=self._registry,
+        )
         self._gauges = aioprometheus.Gauge(
             "gentianpaddle_front_state", "Present state by name", registry=self._registry
         )
@@ -48,6 +63,25 @@
         """
         self._first_event.observe({"route": route}, latency_s)
 
+    def count_rejected(self, service: str) -> None:
+        """Increment the counter of requests that a server rejected.
+
+        Args:
+            service: Name of the service.
+        """
+        self._rejected.inc({"service": service})
+
+    def set_demand(self, service: str, demand: float, share: float) -> None:
+        """Set the demand for a service and the share in its slots.
+
+        Args:
+            service: Name of the service.
+            demand: Demand of this front.
+            share: Share of this front, from 0 to 1.
+        """
+        self._demand.set({"service": service}, demand)
+        self._share.set({"service": service}, share)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge.
 
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -11,10 +11,10 @@
 import socket
 import struct
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import members
+from gentianpaddle_core.serving import members, room_share, routes
 from gentianpaddle_gateway import log
 from gentianpaddle_platform import decoding, documents, objects
 
@@ -47,6 +47,15 @@
 """First byte of a message with a heartbeat."""
 
 
+_DEMAND_KEY = "demand"
+"""Key of the demand in the entry of the VM. Decoders that do not know it ignore it there, but would
+reject a heartbeat with one more field."""
+
+MAX_SERVICE_NAME_BYTES = 64
+"""Maximum length of the name of a service whose demand is announced, so that a heartbeat stays
+small. The capacity of other services is shared equally."""
+
+
 SocketAddress = tuple[str, int]
 """IP address and port."""
 
@@ -176,6 +185,8 @@
     """Store revision and checksum of the objects that the front knows, for each watched kind."""
     collecting: bool
     """Whether the front is a collector of its data centre."""
+    demand_by_service: Mapping[routes.ServiceName, float] | None = None
+    """Demand of the front, or None if it announces none."""
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -188,9 +199,16 @@
         The message.
     """
     member = heartbeat.member
+    spec = documents.encode_member(member)
+    if heartbeat.demand_by_service is not None:
+        spec[_DEMAND_KEY] = {
+            name: round(demand, 1)
+            for name, demand in room_share.announced(heartbeat.demand_by_service).items()
+            if len(name.encode()) <= MAX_SERVICE_NAME_BYTES
+        }
     fields = [
         member.vm,
-        documents.encode_member(member),
+        spec,
         heartbeat.serving,
         heartbeat.version,
         heartbeat.revisions,
@@ -216,7 +234,32 @@
         if member is None:
             return None
         revision_pairs = [(int(revision), int(checksum)) for revision, checksum in revisions]
-        return Heartbeat(member, bool(serving), int(version), revision_pairs, bool(collecting))
+        demand_by_service = _decode_demand(spec.get(_DEMAND_KEY))
+        return Heartbeat(
+            member,
+            bool(serving),
+            int(version),
+            revision_pairs,
+            bool(collecting),
+            demand_by_service,
+        )
+    except decoding.ERRORS:
+        return None
+
+
+def _decode_demand(value: typing.Any) -> dict[routes.ServiceName, float] | None:
+    """Decode the demand in a heartbeat; None if there is none or it is malformed.
+
+    A front whose demand is unreadable is alive all the same.
+    """
+    if not isinstance(value, dict):
+        return None
+    try:
+        items = list(value.items())[: room_share.MAX_ANNOUNCED_SERVICES]
+        return {
+            routes.ServiceName(str(name)): max(0.0, decoding.finite_float(demand))
+            for name, demand in items
+        }
     except decoding.ERRORS:
         return None
 
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -11,6 +11,7 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    free_slots,
     pace_limit,
     placement,
     rates,
@@ -19,6 +20,7 @@
     server_notices,
     servers,
 )
+from gentianpaddle_gateway import demand_exchange
 
 ENGINE_QUEUE_LIMIT = 0
 """Number of requests beyond its slots that are sent to an engine. Further requests would be queued
@@ -67,6 +69,7 @@
         front_count: Returns the number of fronts that share the servers, including this one.
         pace: Limit on the requests that run at the service's engines.
         target_event_gap_s: Returns the target for the gap between events, in seconds, or None.
+        room: Share of this front in the capacity of the service.
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         front_count: Callable[[], int],
         pace: pace_limit.PaceLimit,
         target_event_gap_s: Callable[[], float | None],
+        room: demand_exchange.ServiceRoom,
     ) -> None:
+        self._room = room
         self._pace = pace
         self._target_event_gap_s = target_event_gap_s
         self._service = service
@@ -120,6 +125,7 @@
             `release` for the server.
         """
         now_s = asyncio.get_running_loop().time()
+        self._room.demand.record_arrival(now_s)
         if not self._queue:
             chosen = self._choose_server(excluded, now_s)
             if chosen is not None:
@@ -173,7 +179,8 @@
         """Return this front's share of the slots of all usable servers."""
         usable_servers = self._server_view.usable(self._service().name, now_s)
         slot_limit = self._slot_limit(now_s)
-        return sum(min(entry.slots, slot_limit) for entry in usable_servers) / self._front_count()
+        share = self._room.shares(len(self._queue), now_s).ratio
+        return share * sum(min(entry.slots, slot_limit) for entry in usable_servers)
 
     def _slot_limit(self, now_s: float) -> float:
         """Return the mean number of slots per engine with which answers are fast enough."""
@@ -256,12 +263,15 @@
         engine = service.engine
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
         reports_load = _reports_load(service)
-        unreported = self._unreported_requests(now_s) if engine is not None else 0.0
         slot_limit = self._slot_limit(now_s)
-        if engine is not None and slot_limit < engine.slots:
-            room = pace_limit.room(slot_limit, len(candidates))
-            if self._server_load.total_requests(candidates, now_s) + unreported >= room:
-                return None
+        part = self._part(candidates, slot_limit, now_s) if reports_load else None
+        unreported = self._unreported_requests(part, now_s) if engine is not None else 0.0
+        if (
+            engine is not None
+            and slot_limit < engine.slots
+            and not self._has_room(candidates, slot_limit, unreported, part, now_s)
+        ):
+            return None
         return self._server_load.choose(
             candidates,
             excluded,
@@ -271,8 +281,32 @@
             unreported,
             self._front_count() if reports_load else 1,
             slot_limit,
+            part,
         )
 
+    def _part(
+        self, candidates: Collection[servers.ServerEntry], slot_limit: float, now_s: float
+    ) -> free_slots.Part | None:
+        """Return this front's part of the servers, or None while the service is not contended."""
+        usage = self._server_load.usage(candidates, now_s)
+        slots = sum(min(entry.slots, slot_limit) for entry in candidates)
+        return self._room.part(usage, slots, len(self._queue), now_s)
+
+    def _has_room(
+        self,
+        candidates: Collection[servers.ServerEntry],
+        slot_limit: float,
+        unreported: float,
+        part: free_slots.Part | None,
+        now_s: float,
+    ) -> bool:
+        """Return whether the limit on the requests at all servers together allows one more."""
+        room = pace_limit.room(slot_limit, len(candidates))
+        if part is None:
+            return self._server_load.total_requests(candidates, now_s) + unreported < room
+        usage = self._server_load.usage(candidates, now_s)
+        return part.allows_total(room - usage.reported, usage.added, self._room.rounding(now_s))
+
     def _record_running(self, now_s: float) -> None:
         service = self._service()
         if service.engine is None:
@@ -282,15 +316,17 @@
             total = self._server_load.total_requests(usable_servers, now_s)
             self._pace.record_running(total / len(usable_servers))
 
-    def _unreported_requests(self, now_s: float) -> float:
+    def _unreported_requests(self, part: free_slots.Part | None, now_s: float) -> float:
         """Estimate the number of requests of other fronts that no server report includes yet.
 
-        All fronts receive about the same rate of requests.
+        While the service is contended, the rates of the fronts are as their shares. Otherwise, all
+        fronts are assumed to receive about the same rate.
         """
         while self._dispatch_times_s and self._dispatch_times_s[0] < now_s - RATE_WINDOW_S:
             self._dispatch_times_s.popleft()
         rate_per_s = len(self._dispatch_times_s) / RATE_WINDOW_S
-        return rate_per_s * (self._front_count() - 1) * placement.REPORT_VISIBILITY_DELAY_S
+        others = 1.0 / part.shares.ratio if part is not None else float(self._front_count())
+        return rate_per_s * (others - 1.0) * placement.REPORT_VISIBILITY_DELAY_S
 
     def _refusal(self, reason: str, now_s: float) -> Refusal:
         service = self._service()
--- a/packages/gateway/tests/test_distribution.py
+++ b/packages/gateway/tests/test_distribution.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import json
 import typing
 
 import hypothesis
@@ -11,8 +12,9 @@
 from hypothesis import strategies
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import collectors, members
+from gentianpaddle_core.serving import collectors, members, routes
 from gentianpaddle_gateway import distribution, peers
+from gentianpaddle_platform import documents
 
 LOAD = peers.EngineLoad("10.0.0.1:80", 7, True, 1.25, 5)
 SETTLE_S = 8 * distribution.FLUSH_INTERVAL_S
@@ -212,9 +214,37 @@
     assert peers.decode_load(b"H[]") is None
 
 
+@pytest.mark.parametrize("demand", [None, {}, {routes.ServiceName("s"): 7.5}])
 @pytest.mark.parametrize("collecting", [True, False])
-def test_heartbeat_round_trip(collecting: bool) -> None:
+def test_heartbeat_round_trip(
+    collecting: bool, demand: dict[routes.ServiceName, float] | None
+) -> None:
     """Guards against live fronts considered dead because their heartbeats are unreadable."""
-    sent = peers.Heartbeat(front_member(4, 3), True, 7, [(1, 2), (3, 4), (5, 6)], collecting)
+    revisions = [(1, 2), (3, 4), (5, 6)]
+    sent = peers.Heartbeat(front_member(4, 3), True, 7, revisions, collecting, demand)
     assert peers.decode_heartbeat(peers.encode_heartbeat(sent)) == sent
     assert peers.decode_heartbeat(peers.encode_load(LOAD)) is None
+
+
+def test_heartbeat_with_demand_is_readable_without_it_and_small() -> None:
+    """Guards against fronts of the last version that take this one for dead, and long messages."""
+    member = front_member(4, 3)
+    demand = {routes.ServiceName(f"{number}" * 40): 100.0 + number for number in range(10)}
+    demand[routes.ServiceName("x" * 500)] = 200.0
+    message = peers.encode_heartbeat(peers.Heartbeat(member, True, 7, [(1, 2)], True, demand))
+    vm, spec, serving, version, revisions, collecting = json.loads(message[1:])
+    assert documents.decode_member(vm, spec) == member
+    assert [serving, version, revisions, collecting] == [True, 7, [[1, 2]], True]
+    plain = peers.encode_heartbeat(peers.Heartbeat(member, True, 7, [(1, 2)], True))
+    assert len(message) - len(plain) <= 8 * (peers.MAX_SERVICE_NAME_BYTES + 10) + 12
+
+
+@pytest.mark.parametrize(
+    "demand", [5, [1], {"s": "x"}, {"s": None}, {"s": float("inf")}, {"s": []}]
+)
+def test_heartbeat_with_malformed_demand(demand: object) -> None:
+    """Guards against a live front that counts as dead because its demand is unreadable."""
+    member = front_member(4, 3)
+    spec = {**documents.encode_member(member), "demand": demand}
+    message = b"H" + json.dumps([member.vm, spec, True, 7, [], False]).encode()
+    assert peers.decode_heartbeat(message) == peers.Heartbeat(member, True, 7, [], False, None)
