Limit the memory and the connections that callers of a front hold together

Nothing bounded the number of connections, the bytes held by all requests, header fields, or pipelined bytes; whole bodies were read before their paths were looked up, and each chunk was an object of its own.

caller_memory (pure) keeps one budget of bytes and connections for all ports of a process, derived from memoryMb and maxFds. Small bodies have a reserve, large ones wait up to body_wait_s and get 503 with Retry-After, and the holder that is longest without progress gives way: with 408 if its request has not been passed on, never while it may run at a server. caller_pace (pure) finds callers that do not read. http_server is split: http_reader reads in bounded slices and one batch of small chunks in each turn of the event loop, http_connection serves, and a body that is not needed by the head (path, key, port without bodies) is not read. Responses of servers count until they are sent. Large blocks are allocated outside of the heap, which bodies fragmented. Section [caller_limits] has the limits; the side process applies the same ones.

Not run with this commit: test_http_server in its present form, test_planned_stop, test_cut_answers, test_side_calls and test_side_process.

--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -100,7 +100,6 @@
     server: servers.ServerEntry,
     responder: http_server.Responder,
     supervision: silence_watch.Supervision,
-    memory: http_client.BodyMemory,
 ) -> AttemptOutcome:
     """Send a request to a server and forward a successful answer to the caller.
 
@@ -109,7 +108,6 @@
         server: Server to which it is sent.
         responder: Sends the response to the caller.
         supervision: Decides when a server that says nothing is given up.
-        memory: Limit on the bodies that this process reads at the same time.
 
     Returns:
         Outcome of the attempt.
@@ -127,7 +125,7 @@
     )
     try:
         async with asyncio.timeout(context.remaining_s()):
-            return await _forward(context, server, connection, responder, watch, memory)
+            return await _forward(context, server, connection, responder, watch)
     except http_client.IncompleteResponseError as error:
         reason = watch.leave_reason
         out_of_time = reason in (
@@ -147,6 +145,7 @@
     finally:
         watch.stop()
         connection.close()
+        responder.release_response()
 
 
 async def _forward(
@@ -155,7 +154,6 @@
     connection: http_client.ClientConnection,
     responder: http_server.Responder,
     watch: silence_watch.SilenceWatch,
-    memory: http_client.BodyMemory,
 ) -> AttemptOutcome:
     request = context.request
     fields = headers.encode_request(
@@ -184,14 +182,14 @@
         return attempts.Lost("encoded body is not supported")
     context.answer_stage = attempts.AnswerStage.HEAD
     if not 200 <= response.status < 300:
-        body = await connection.read_body(FAILURE_BODY_LIMIT_BYTES, memory)
+        body = await connection.read_body(FAILURE_BODY_LIMIT_BYTES, responder)
         if context.route.kind is not routes.RouteKind.STREAMING:
             # An engine may fail a request without having begun an answer to its prompt.
             context.record_answer_begun()
         return FailureResponse(attempts.ServerFailure(response.status), response, body)
     if context.route.kind is routes.RouteKind.STREAMING:
         return await _relay_events(context, response, connection, responder, watch)
-    body = await connection.read_body(ANSWER_BODY_LIMIT_BYTES, memory)
+    body = await connection.read_body(ANSWER_BODY_LIMIT_BYTES, responder)
     if not body and _may_have_body(request, response) and not _has_framing(response):
         # Without framing, an empty body cannot be told from a crash of the server.
         return attempts.Lost("the answer ended after its head", closed_by_server=True)
--- a/packages/gateway/src/gentianpaddle_gateway/channel.py
+++ b/packages/gateway/src/gentianpaddle_gateway/channel.py
@@ -10,6 +10,16 @@
 """Number of received, unread bytes above which reading from the socket is paused. Bounds the memory
 per connection."""
 
+MAX_READ_BYTES = 65_536
+"""Maximum number of bytes of one read from a socket."""
+
+WRITE_PART_BYTES = 16_384
+"""Size of the parts in which `Channel.write_large` sends."""
+
+_READ_AREA = memoryview(bytearray(MAX_READ_BYTES))
+"""Area for all reads of the process. Bytes are copied from it before the next read, so that no
+connection needs an area of its own."""
+
 KEEP_ALIVE_IDLE_S = 5
 """Idle time after which the kernel sends keep-alive probes. Requests have their own time-outs; the
 probes free the descriptors of callers that disappeared without closing their connections."""
@@ -28,7 +38,11 @@
     """The connection was closed or reset, by the peer or by this process."""
 
 
-class Channel(asyncio.Protocol):
+class ReadInterruptedError(Exception):
+    """This process has called `Channel.interrupt`."""
+
+
+class Channel(asyncio.BufferedProtocol):
     """One TCP connection.
 
     Args:
@@ -43,6 +57,11 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._reading_enabled = True
+        self._interrupted = False
+        self._written_bytes = 0
+        self.buffer_limit_bytes = READ_BUFFER_BYTES
+        """Number of received, unread bytes from which on nothing is read from the socket."""
+        self._discard_limit_bytes: int | None = None
         self.at_eof = False
         """Whether the peer has closed its sending side (end of file)."""
         self.closed = False
@@ -64,13 +83,27 @@
         if self._on_accepted is not None:
             self._on_accepted(self)
 
-    def data_received(self, data: bytes) -> None:
-        """See `asyncio.Protocol`."""
-        self._buffer += data
-        if len(self._buffer) > READ_BUFFER_BYTES and self._reading_enabled and self._transport:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See `asyncio.BufferedProtocol`."""
+        # Reading is paused when the limit has been reached, so there is space for a byte.
+        return _READ_AREA[: max(1, self.buffer_limit_bytes - len(self._buffer))]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """See `asyncio.BufferedProtocol`."""
+        if self._discard_limit_bytes is not None:
+            self._discard_limit_bytes -= nbytes
+            if self._discard_limit_bytes <= 0:
+                self._pause_reading()
+            return
+        self._buffer += _READ_AREA[:nbytes]
+        if len(self._buffer) >= self.buffer_limit_bytes:
+            self._pause_reading()
+        self._wake_reader()
+
+    def _pause_reading(self) -> None:
+        if self._reading_enabled and self._transport is not None:
             self._reading_enabled = False
             self._transport.pause_reading()
-        self._wake_reader()
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
@@ -103,6 +136,11 @@
         """Whether there are received bytes that have not been read."""
         return bool(self._buffer)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of received bytes that have not been read."""
+        return len(self._buffer)
+
     @property
     def has_unsent_data(self) -> bool:
         """Whether there are bytes to be sent that the kernel has not taken yet."""
@@ -112,16 +150,29 @@
             and self._transport.get_write_buffer_size() > 0
         )
 
-    async def read(self) -> bytes:
-        """Wait for bytes and return all that have been received.
+    @property
+    def read_by_peer_bytes(self) -> int:
+        """Number of written bytes that the kernel has taken to send them."""
+        if self._transport is None or self.closed:
+            return self._written_bytes
+        return self._written_bytes - self._transport.get_write_buffer_size()
+
+    async def read(self, limit_bytes: int | None = None) -> bytes:
+        """Wait for bytes and return those that have been received.
+
+        Args:
+            limit_bytes: Maximum number of bytes to return, or None for all.
 
         Returns:
             Received bytes; empty at end of file.
 
         Raises:
             ChannelClosedError: The connection was lost before the end of file.
+            ReadInterruptedError: `interrupt` was called.
         """
-        while not self._buffer:
+        while not self._buffer or self._interrupted:
+            if self._interrupted:
+                raise ReadInterruptedError
             if self.at_eof:
                 return b""
             if self.closed:
@@ -131,14 +182,51 @@
                 await self._read_waiter
             finally:
                 self._read_waiter = None
-        data = bytes(self._buffer)
+        if limit_bytes is None or limit_bytes >= len(self._buffer):
+            data = bytes(self._buffer)
+            self._buffer.clear()
+        else:
+            data = bytes(self._buffer[:limit_bytes])
+            del self._buffer[:limit_bytes]
+        self._resume_reading()
+        return data
+
+    def unread(self, data: bytes) -> None:
+        """Put bytes back, so that they are read next.
+
+        Args:
+            data: The bytes, which were the last ones to be read.
+        """
+        self._buffer[:0] = data
+
+    def discard_all(self, limit_bytes: int) -> None:
+        """Drop the bytes that have been received and those that will be.
+
+        Args:
+            limit_bytes: Number of bytes after which nothing is read any more.
+        """
+        self._discard_limit_bytes = limit_bytes
+        self._interrupted = False
+        self._buffer.clear()
+        self._resume_reading()
+
+    def interrupt(self) -> None:
+        """Make the present and all later calls of `read` fail, and drop what has been received."""
+        self._interrupted = True
         self._buffer.clear()
-        if not self._reading_enabled and self._transport is not None and not self.closed:
+        self._wake_reader()
+
+    def _resume_reading(self) -> None:
+        if (
+            not self._reading_enabled
+            and self._transport is not None
+            and not self.closed
+            and len(self._buffer) < self.buffer_limit_bytes
+        ):
             self._reading_enabled = True
             self._transport.resume_reading()
-        return data
 
-    async def write(self, data: bytes) -> None:
+    async def write(self, data: bytes | memoryview) -> None:
         """Send bytes, waiting while the write buffer is full.
 
         Args:
@@ -147,15 +235,54 @@
         Raises:
             ChannelClosedError: The connection has been lost or closed.
         """
-        if self.closed or self._transport is None:
-            raise ChannelClosedError
-        if data:
-            self._transport.write(data)
+        self.write_now(data)
         if not self._writable.is_set():
             await self._writable.wait()
             if self.closed:
                 raise ChannelClosedError
 
+    def write_now(self, data: bytes | memoryview) -> None:
+        """Send bytes without waiting. Only for few bytes.
+
+        Args:
+            data: Bytes to send.
+
+        Raises:
+            ChannelClosedError: The connection has been lost or closed.
+        """
+        if self.closed or self._transport is None:
+            raise ChannelClosedError
+        if data:
+            self._written_bytes += len(data)
+            self._transport.write(data)
+
+    async def write_large(
+        self, data: bytes | bytearray, on_progress: Callable[[], None] | None = None
+    ) -> None:
+        """Send bytes in parts, so that the write buffer holds no copy of all of them.
+
+        Args:
+            data: Bytes to send.
+            on_progress: Called after each part for which there was space, or None.
+
+        Raises:
+            ChannelClosedError: The connection has been lost or closed.
+        """
+        view = memoryview(data)
+        for start in range(0, len(view), WRITE_PART_BYTES):
+            await self.write(view[start : start + WRITE_PART_BYTES])
+            if on_progress is not None:
+                on_progress()
+
+    def limit_write_buffer(self, limit_bytes: int) -> None:
+        """Set the number of unsent bytes from which on `write` waits.
+
+        Args:
+            limit_bytes: The number.
+        """
+        if self._transport is not None:
+            self._transport.set_write_buffer_limits(limit_bytes)
+
     def close(self) -> None:
         """Close the connection after the buffered bytes have been sent."""
         if self._transport is not None:
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -26,7 +26,6 @@
     caller_responses,
     crash_watch,
     engine_checks,
-    http_client,
     http_server,
     log,
     metrics,
@@ -39,9 +38,6 @@
 
 _logger = logging.getLogger("gentianpaddle.requests")
 
-BODY_MEMORY_BYTES = 32 * 1_048_576
-"""Maximum size of all bodies of servers that a front holds in memory at the same time."""
-
 DEFAULT_TIMEOUT_S = 30.0
 """Time-out of a request without a deadline."""
 
@@ -87,7 +83,6 @@
         )
         self._queue_by_service: dict[routes.ServiceName, service_queue.ServiceQueue] = {}
         self._budget_by_service: dict[routes.ServiceName, rates.RetryBudget] = {}
-        self._body_memory = http_client.BodyMemory(BODY_MEMORY_BYTES)
         self._progress_by_service: dict[routes.ServiceName, silence.ServiceProgress] = {}
         self._stop: planned_stop.PlannedStop | None = None
 
@@ -146,6 +141,21 @@
         """Return the number of requests that wait for a server."""
         return sum(queue.waiting_count for queue in self._queue_by_service.values())
 
+    def needs_body(self, request: http_server.Request) -> bool:
+        """Return whether a request will be passed on, as far as its head tells.
+
+        Args:
+            request: Request of a caller, without its body.
+        """
+        table = self._state.table
+        if table is None:
+            return False
+        route = table.match(request.head.host, request.path)
+        if route is None:
+            return False
+        known = route.public or not table.keys_required
+        return known or (request.head.api_key or "") in table.organisation_by_key
+
     async def handle(self, request: http_server.Request, responder: http_server.Responder) -> None:
         """Handle one request of a caller.
 
@@ -153,7 +163,7 @@
             request: Request of the caller.
             responder: Sends the response.
         """
-        head = headers.decode_request(request.headers)
+        head = request.head
         table = self._state.table
         if table is None:
             await self._responses.refuse(
@@ -171,6 +181,10 @@
                 await self._responses.deny(head, responder, 401, "unknown_key", table)
                 return
             organisation = found.id
+        if request.body_omitted:
+            # A new configuration has just arrived that has the route or the key.
+            await self._responses.refuse(head, responder, "body_not_read", 0.0, route.name)
+            return
         service = table.service_by_name.get(route.service_for(random.random()))
         if service is None:
             await self._responses.refuse(
@@ -255,7 +269,6 @@
                     chosen,
                     responder,
                     self._supervision(context, chosen, excluded),
-                    self._body_memory,
                 )
             finally:
                 duration_s = asyncio.get_running_loop().time() - attempt_started_s
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -20,9 +20,11 @@
 )
 from gentianpaddle_gateway import (
     background_tasks,
+    caller_limits,
     crash_messages,
     distribution,
     forwarder,
+    gateway_settings,
     http_client,
     http_server,
     limit_messages,
@@ -69,9 +71,14 @@
 
     Args:
         process_settings: Settings of this process.
+        own_settings: Our own settings.
     """
 
-    def __init__(self, process_settings: settings.Settings) -> None:
+    def __init__(
+        self,
+        process_settings: settings.Settings,
+        own_settings: gateway_settings.GatewaySettings,
+    ) -> None:
         self._settings = process_settings
         self._member = members.Member(
             vm=process_settings.vm,
@@ -99,7 +106,15 @@
             self._metrics,
             self._broadcast,
         )
-        self._caller_server = http_server.Server(self._forwarder.handle, self._forwarder.limits)
+        self._caller_limits = caller_limits.CallerLimits(
+            own_settings.caller_limits, process_settings.machine_limits, self._metrics
+        )
+        self._caller_server = http_server.Server(
+            self._forwarder.handle,
+            self._forwarder.limits,
+            self._caller_limits,
+            self._forwarder.needs_body,
+        )
         self._registration = peers.Registration(
             self._members,
             objects.ObjectStore(
@@ -160,7 +175,12 @@
             await self._caller_server.listen(config.front_address)
 
     def _internal_server(self, handler: http_server.Handler) -> http_server.Server:
-        return http_server.Server(handler, lambda: routes.DEFAULT_CLIENT_LIMITS)
+        return http_server.Server(
+            handler,
+            lambda: routes.DEFAULT_CLIENT_LIMITS,
+            self._caller_limits,
+            http_server.needs_no_body,
+        )
 
     def _reload(self) -> None:
         """Read the settings file again and apply its bounds, except `grace_s`.
@@ -215,6 +235,8 @@
         self._metrics.set_gauge("waiting", self._forwarder.waiting_count())
         self._metrics.set_gauge("held_parts", self._forwarder.crash_watch.held_count)
         self._metrics.set_gauge("in_progress", self._caller_server.in_progress)
+        self._metrics.set_gauge("caller_bytes", self._caller_limits.memory.held_bytes)
+        self._metrics.set_gauge("connections", self._caller_limits.memory.connection_count)
         table = self._state.table
         self._metrics.set_gauge("configuration_version", table.version if table else 0)
         fields = [(b"content-type", b"text/plain; version=0.0.4")]
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import typing
 
 import h11
 
@@ -29,15 +30,8 @@
 """Maximum number of informational (1xx) responses before the final one."""
 
 
-class BodyMemory:
-    """Limits the memory of all response bodies that a process reads at the same time.
-
-    Args:
-        limit_bytes: Maximum size of these bodies together.
-    """
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._free_bytes = limit_bytes
+class Memory(typing.Protocol):
+    """Limits the memory of the response bodies that a process holds at the same time."""
 
     def try_acquire(self, size_bytes: int) -> bool:
         """Reserve memory and return whether there was enough.
@@ -45,18 +39,6 @@
         Args:
             size_bytes: Number of bytes to reserve.
         """
-        if size_bytes > self._free_bytes:
-            return False
-        self._free_bytes -= size_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Return reserved memory.
-
-        Args:
-            size_bytes: Number of bytes that are no longer used.
-        """
-        self._free_bytes += size_bytes
 
 
 class IncompleteResponseError(Exception):
@@ -96,7 +78,11 @@
         return not self._closed and (self.channel.at_eof or self.channel.closed)
 
     async def send(
-        self, method: str, target: str, fields: list[headers.Header], body: bytes | None
+        self,
+        method: str,
+        target: str,
+        fields: list[headers.Header],
+        body: bytes | bytearray | None,
     ) -> None:
         """Send a request with its complete body.
 
@@ -111,10 +97,17 @@
         """
         request = h11.Request(method=method, target=target, headers=fields)
         data = self._parser.send(request) or b""
-        if body:
-            data += self._parser.send(h11.Data(data=body)) or b""
-        data += self._parser.send(h11.EndOfMessage()) or b""
+        content = typing.cast(bytes, body)  # The parser takes any buffer.
         try:
+            if body and len(body) > channel.WRITE_PART_BYTES:
+                await self.channel.write(data)
+                # The body has a length, so that the parser passes it on unchanged.
+                for part in self._parser.send_with_data_passthrough(h11.Data(data=content)) or ():
+                    await self.channel.write_large(part)
+                data = b""
+            elif body:
+                data += self._parser.send(h11.Data(data=content)) or b""
+            data += self._parser.send(h11.EndOfMessage()) or b""
             await self.channel.write(data)
         except channel.ChannelClosedError:
             raise IncompleteResponseError("closed while the request was sent") from None
@@ -156,13 +149,14 @@
         raise IncompleteResponseError("the connection ended within the body")
 
     async def read_body(
-        self, limit_bytes: int = BODY_LIMIT_BYTES, memory: BodyMemory | None = None
+        self, limit_bytes: int = BODY_LIMIT_BYTES, memory: Memory | None = None
     ) -> bytes:
         """Read the response body to its end.
 
         Args:
             limit_bytes: Maximum size of the body.
-            memory: Limit on this body and the others that are read at the same time, or None.
+            memory: Limit on this body and the others that are held at the same time, or None. Its
+                owner returns the memory when the body is no longer used.
 
         Returns:
             Complete body.
@@ -173,21 +167,14 @@
         """
         parts: list[bytes] = []
         size = 0
-        reserved = 0
-        try:
-            while (part := await self.read_body_part()) is not None:
-                parts.append(part)
-                size += len(part)
-                if size > limit_bytes:
-                    raise IncompleteResponseError("the body is too large")
-                if memory is not None:
-                    if not memory.try_acquire(len(part)):
-                        raise IncompleteResponseError("no memory for the body")
-                    reserved += len(part)
-            return b"".join(parts)
-        finally:
-            if memory is not None:
-                memory.release(reserved)
+        while (part := await self.read_body_part()) is not None:
+            parts.append(part)
+            size += len(part)
+            if size > limit_bytes:
+                raise IncompleteResponseError("the body is too large")
+            if memory is not None and not memory.try_acquire(len(part)):
+                raise IncompleteResponseError("no memory for the body")
+        return b"".join(parts)
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]:
         self._events_since_yield += 1
--- a/packages/gateway/src/gentianpaddle_gateway/metrics.py
+++ b/packages/gateway/src/gentianpaddle_gateway/metrics.py
@@ -19,6 +19,11 @@
             "Requests by route and outcome",
             registry=self._registry,
         )
+        self._limited_callers = aioprometheus.Counter(
+            "gentianpaddle_front_limited_callers_total",
+            "Requests refused and connections closed because of a limit for callers, by reason",
+            registry=self._registry,
+        )
         self._first_event = aioprometheus.Histogram(
             "gentianpaddle_front_first_event_seconds",
             "Time to the first event or the whole answer by route",
@@ -38,6 +43,15 @@
         """
         self._requests.inc({"route": route, "outcome": outcome})
 
+    def count_limited_caller(self, action: str, reason: str) -> None:
+        """Increment the counter of requests and connections that exceeded a limit for callers.
+
+        Args:
+            action: "refused" for a request or a new connection, "closed" for an open connection.
+            reason: The limit.
+        """
+        self._limited_callers.inc({"action": action, "reason": reason})
+
     def observe_first_event(self, route: str, latency_s: float) -> None:
         """Record the time to the first event of an answer.
 
--- a/packages/gateway/src/gentianpaddle_gateway/side_calls.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_calls.py
@@ -226,6 +226,15 @@
             await responder.respond(404, [], b"")
 
 
+def needs_body(request: http_server.Request) -> bool:
+    """Return whether a side process serves the path of a request.
+
+    Args:
+        request: A request, without its body.
+    """
+    return request.path == RELAY_TARGET or request.path in engine_client.TARGETS
+
+
 def _decode_state(body: bytes) -> engine_client.RankState | None:
     decompressed = _decompress(body)
     if decompressed is None:
@@ -236,7 +245,7 @@
         return None
 
 
-def _decompress(body: bytes) -> bytes | None:
+def _decompress(body: bytes | bytearray) -> bytes | None:
     if not body:
         return b""
     decompressor = zlib.decompressobj()
--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -12,12 +12,15 @@
 from gentianpaddle_core.serving import collectors, engine_state, members, routes
 from gentianpaddle_gateway import (
     background_tasks,
+    caller_limits,
     coordinator,
     distribution,
     engine_client,
+    gateway_settings,
     http_client,
     http_server,
     log,
+    metrics,
     peers,
     side_calls,
     store_watch,
@@ -45,9 +48,18 @@
     Args:
         process_settings: Settings of this process.
         engine_address: Host and port of the engine on this VM.
+        own_settings: Our own settings.
     """
 
-    def __init__(self, process_settings: settings.Settings, engine_address: str) -> None:
+    def __init__(
+        self,
+        process_settings: settings.Settings,
+        engine_address: str,
+        own_settings: gateway_settings.GatewaySettings,
+    ) -> None:
+        self._caller_limits = caller_limits.CallerLimits(
+            own_settings.caller_limits, process_settings.machine_limits, metrics.new_metrics()
+        )
         self._settings = process_settings
         self._engine_address = engine_address
         self._members = members.MemberView(
@@ -94,7 +106,12 @@
         )
         self._submitter = distribution.Submitter(self._members, self._collectors, datagrams)
         config = self._settings
-        server = http_server.Server(self._calls.serve, lambda: routes.DEFAULT_CLIENT_LIMITS)
+        server = http_server.Server(
+            self._calls.serve,
+            lambda: routes.DEFAULT_CLIENT_LIMITS,
+            self._caller_limits,
+            side_calls.needs_body,
+        )
         await server.listen(f"{config.ip}:{config.port}")
         coroutines = [self._registration.run(), self._report_loads()]
         if config.expert_placement_enabled:
--- a/tests/test_reference_docs.py
+++ b/tests/test_reference_docs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import dataclasses
 import pathlib
 import re
 import typing
@@ -11,6 +12,7 @@
 
 from gentianpaddle_core import declarations, settings
 from gentianpaddle_daemon import metrics
+from gentianpaddle_gateway import gateway_settings
 
 ROOT = pathlib.Path(__file__).parents[1]
 DOCS = ROOT / "docs"
@@ -75,6 +77,12 @@
     assert set(documented) == _parser_keys(parse, tables)
 
 
+def test_documented_limits_for_callers_match_the_settings():
+    documented = _table_rows(_section("settings.md", "Limits for callers on the platform"))
+    fields = dataclasses.fields(gateway_settings.CallerLimits)
+    assert set(documented) == {f"caller_limits.{field.name}" for field in fields}
+
+
 @pytest.mark.parametrize(
     ("page", "parse", "count"),
     [
