Limit the running requests by their present pace only, and count the others by demand

A front that alone served a data centre after its neighbours were killed kept requests in its queue while the engines had 1.4 of 5 requests: it took the rate of all fronts for its own, and remembered a part of one request that was measured while loads were missing. The limit follows the last 0.8 s again, applies to services with priorities, and the requests of other fronts count by their announced demand.

--- a/packages/core/src/gentianpaddle_core/serving/pace_limit.py
+++ b/packages/core/src/gentianpaddle_core/serving/pace_limit.py
@@ -1,15 +1,12 @@
-"""Limits the less urgent requests at engines so that answers to urgent ones are fast enough.
+"""Limits the requests that run on engines at once so that answers are made fast enough.
 
-Load pattern: other experts come into demand, or a burst of less urgent requests arrives, while
-requests fill all slots of a group of engines. Each pass takes so long that the pause between two
-events exceeds the target of every stream of the group: urgent and less urgent callers are late
-although none is refused.
+Load pattern: other experts come into demand, or a rank is slow, while requests fill all slots of a
+group of engines. Each pass takes so long that the pause between two events exceeds the target of
+every stream of the group: all callers are late although none is refused.
 
 The duration of a pass is a fixed part plus a part for each request that runs. The fixed part is
 published, the pause between events is measured, and the difference divided by the number of running
-requests gives the part of one request. From that follows how many requests meet the target. Above
-this number only the most urgent requests of the service are sent. Without differing priorities no
-limit applies, as late answers to all callers are better than refusals of some.
+requests gives the part of one request. From that follows how many requests meet the target.
 """
 
 from __future__ import annotations
@@ -23,22 +20,14 @@
 """Length of the window in which pauses are measured; about ten passes."""
 
 MIN_PAUSES = 8
-"""Minimum number of pauses in the window. A front sees at least one stream's pauses of a window;
-fewer would make single passes with a large prompt decide."""
+"""Minimum number of pauses in the window for a limit. A front sees at least one stream's pauses of
+a window; fewer would make single passes with a large prompt decide."""
 
-PAUSE_QUANTILE = 0.9
-"""Quantile of the measured pauses that has to meet the target. A stream has about 20 pauses, and
-one over the target makes it late."""
+PAUSE_QUANTILE = 0.75
+"""Quantile of the measured pauses that has to meet the target. One pause over the target makes a
+stream late, but the longest pauses come from single large prompts, not from the load."""
 
-OUTAGE_TARGETS = 4.0
-"""Multiple of the target from which a pause comes from a held or stalled group rather than from
-its load; such pauses do not count."""
-
-MEMORY_S = 6.0
-"""Time for which the largest part of one request is remembered. Other experts come into demand
-every few seconds; streams that were sent in a better moment would be late after the next change."""
-
-TARGET_MARGIN = 0.9
+TARGET_MARGIN = 0.85
 """Share of the target for the pause that is used, as passes vary around the quantile."""
 
 MIN_REQUESTS = 1.0
@@ -54,8 +43,6 @@
 
     def __init__(self) -> None:
         self._pauses: collections.deque[tuple[float, float]] = collections.deque()
-        self._parts: collections.deque[tuple[float, float]] = collections.deque()
-        """Time, and the part of one request in the duration of a pass, in seconds."""
         self.running: float | None = None
         """Moving average of the running requests per engine, or None before the first value."""
 
@@ -104,32 +91,20 @@
 
         Returns:
             The number, at least `MIN_REQUESTS` and at most the number of slots. It is the number
-            of slots if the target is met with all of them, if nothing is measured, and if at
-            present no number meets it, as then only the throughput counts.
+            of slots if the target is met with all of them, if nothing is measured, and if no
+            number meets it, as then only the throughput counts.
         """
-        self._record_part(engine, target_s, now_s)
+        pause_s = self.pause_s(now_s)
+        if pause_s is None or not self.running:
+            return float(engine.slots)
         fixed_s = engine.steps_per_pass * engine.step_ms / 1000.0
-        if not self._parts or self._parts[-1][1] * MIN_REQUESTS > target_s - fixed_s:
+        allowed_s = TARGET_MARGIN * target_s - fixed_s
+        per_request_s = (pause_s - fixed_s) / self.running
+        if per_request_s <= 0.0:
             return float(engine.slots)
-        largest_part_s = max(part_s for _, part_s in self._parts)
-        if largest_part_s <= 0.0:
+        if per_request_s * MIN_REQUESTS > target_s - fixed_s:
             return float(engine.slots)
-        allowed = (TARGET_MARGIN * target_s - fixed_s) / largest_part_s
-        return min(float(engine.slots), max(MIN_REQUESTS, allowed))
-
-    def _record_part(self, engine: routes.EngineCapacity, target_s: float, now_s: float) -> None:
-        """Record the part that one request has in the present pause."""
-        while self._parts and now_s - self._parts[0][0] > MEMORY_S:
-            self._parts.popleft()
-        if self._parts and now_s - self._parts[-1][0] < WINDOW_S / 4.0:
-            return
-        pause_s = self.pause_s(now_s)
-        if pause_s is None or not self.running or pause_s > OUTAGE_TARGETS * target_s:
-            return
-        fixed_s = engine.steps_per_pass * engine.step_ms / 1000.0
-        # With few requests, the part of one is not told from the variation of the passes.
-        running = max(MIN_REQUESTS, self.running)
-        self._parts.append((now_s, max(0.0, pause_s - fixed_s) / running))
+        return min(float(engine.slots), max(MIN_REQUESTS, allowed_s / per_request_s))
 
     def _discard_old(self, now_s: float) -> None:
         while self._pauses and now_s - self._pauses[0][0] > WINDOW_S:
--- a/packages/core/src/gentianpaddle_core/serving/request_queue.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_queue.py
@@ -98,22 +98,15 @@
         """Return the queued requests in the order of their arrival."""
         return list(self._entries)
 
-    def next_to_start(
-        self, now_s: float, most_urgent: int | None = None
-    ) -> QueuedRequest[T] | None:
-        """Return the request to start next, or None if there is none.
+    def next_to_start(self, now_s: float) -> QueuedRequest[T] | None:
+        """Return the request to start next, or None if the queue is empty.
 
         Args:
             now_s: Monotonic time in seconds.
-            most_urgent: Priority of the most urgent requests if only these may start, or None.
         """
-        entries = self._entries
-        if most_urgent is not None:
-            entries = [entry for entry in entries if entry.group.priority <= most_urgent]
-        late = [entry for entry in entries if entry.start_by_s < now_s]
-        on_time = [entry for entry in entries if entry.start_by_s >= now_s]
-        is_turn = self._started_count % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1
-        if most_urgent is None and is_turn:
+        late = [entry for entry in self._entries if entry.start_by_s < now_s]
+        on_time = [entry for entry in self._entries if entry.start_by_s >= now_s]
+        if self._started_count % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1:
             left_behind = self._left_behind(late, on_time, now_s)
             if left_behind:
                 late = [entry for entry in left_behind if entry.start_by_s < now_s]
--- a/packages/core/src/gentianpaddle_core/serving/routes.py
+++ b/packages/core/src/gentianpaddle_core/serving/routes.py
@@ -156,16 +156,6 @@
     """Priority that overrides the route's, or None."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PaceTarget:
-    """What the answers to the most urgent requests of a service have to achieve."""
-
-    event_gap_s: float
-    """Shortest target of the service's routes for the gap between events, in seconds."""
-    most_urgent: int
-    """Priority of the most urgent routes."""
-
-
 @dataclasses.dataclass(frozen=True)
 class RoutingTable:
     """One version of the operator's configuration."""
@@ -188,21 +178,20 @@
         return by_host
 
     @functools.cached_property
-    def pace_target_by_service(self) -> dict[ServiceName, PaceTarget]:
-        """Target for the pace of each service whose routes differ in priority and state one."""
-        routes_by_service: dict[ServiceName, list[Route]] = {}
+    def pace_target_s_by_service(self) -> dict[ServiceName, float]:
+        """Shortest target for the gap between events, in seconds, of services that have priorities.
+
+        Services are missing if their routes have the same priority or state no target.
+        """
+        target_s_by_service: dict[ServiceName, float] = {}
         for route in self.routes:
-            if route.target_event_gap_s is not None:
-                for service, _ in route.weight_by_service:
-                    routes_by_service.setdefault(service, []).append(route)
-        return {
-            service: PaceTarget(
-                min(route.target_event_gap_s or 0.0 for route in routes),
-                min(route.priority for route in routes),
-            )
-            for service, routes in routes_by_service.items()
-            if len({route.priority for route in routes}) > 1
-        }
+            if route.target_event_gap_s is None:
+                continue
+            for service, _ in route.weight_by_service:
+                if service in self.prioritised_services:
+                    known_s = target_s_by_service.get(service, route.target_event_gap_s)
+                    target_s_by_service[service] = min(known_s, route.target_event_gap_s)
+        return target_s_by_service
 
     @functools.cached_property
     def prioritised_services(self) -> frozenset[ServiceName]:
--- a/packages/core/tests/test_pace_limit.py
+++ b/packages/core/tests/test_pace_limit.py
@@ -110,7 +110,7 @@
         limit.record_pause(0.14, number * 0.01)
     engine = capacity(5, 6, 5.85)
     assert limit.requests_per_engine(engine, 0.12, 0.2) < 5.0
-    assert limit.requests_per_engine(engine, 0.12, 0.2 + pace_limit.MEMORY_S + 0.2) == 5.0
+    assert limit.requests_per_engine(engine, 0.12, 0.2 + pace_limit.WINDOW_S + 0.2) == 5.0
 
 
 @pytest.mark.parametrize(
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -500,7 +500,7 @@
                 self.notices.board,
                 self._front_count,
                 self._progress(service).pace,
-                lambda: self._pace_target(service),
+                lambda: self._pace_target_s(service),
                 traffic_control.TrafficControl(
                     service, self._data_centre, self._traffic_settings, self._server_load
                 ),
@@ -511,9 +511,9 @@
     def _progress(self, service: routes.ServiceName) -> silence.ServiceProgress:
         return self._progress_by_service.setdefault(service, silence.ServiceProgress())
 
-    def _pace_target(self, service: routes.ServiceName) -> routes.PaceTarget | None:
+    def _pace_target_s(self, service: routes.ServiceName) -> float | None:
         table = self._state.table
-        return table.pace_target_by_service.get(service) if table is not None else None
+        return table.pace_target_s_by_service.get(service) if table is not None else None
 
     def _service(self, name: routes.ServiceName) -> routes.Service:
         table = self._state.table
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -8,7 +8,6 @@
 import logging
 import math
 import random
-import sys
 from collections.abc import Callable, Collection, Iterable
 
 from gentianpaddle_core import ids
@@ -49,8 +48,6 @@
 
 _logger = logging.getLogger("gentianpaddle.requests")
 
-_LEAST_URGENT = request_queue.RequestGroup((sys.maxsize, sys.maxsize))
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -89,8 +86,9 @@
         cold_limits: Rate limits of servers in cold start.
         notice_board: What the servers say of themselves.
         front_count: Returns the number of fronts that share the servers, including this one.
-        pace: Limit on the less urgent requests that run at the service's engines.
-        pace_target: Returns what the limit is to achieve, or None if no limit applies.
+        pace: Limit on the requests that run at the service's engines.
+        pace_target_s: Returns the target for the gap between events in seconds, or None if no
+            limit applies.
         traffic: Decides which requests are sent to another data centre.
         room: Share of this front in the capacity of the service.
     """
@@ -104,7 +102,7 @@
         notice_board: server_notices.NoticeBoard,
         front_count: Callable[[], int],
         pace: pace_limit.PaceLimit,
-        pace_target: Callable[[], routes.PaceTarget | None],
+        pace_target_s: Callable[[], float | None],
         traffic: traffic_control.TrafficControl,
         room: demand_exchange.ServiceRoom,
     ) -> None:
@@ -112,7 +110,7 @@
         self._room = room
         self._scanned_s = -math.inf
         self._pace = pace
-        self._pace_target = pace_target
+        self._pace_target_s = pace_target_s
         self._limited = False
         self._limit_logged_s = 0.0
         self._service = service
@@ -161,7 +159,7 @@
         self._queue.record_arrival(group, now_s)
         self._room.demand.record_arrival(now_s)
         if not self._queue:
-            chosen = self._choose_server(excluded, now_s, origin, group)
+            chosen = self._choose_server(excluded, now_s, origin)
             if chosen is not None:
                 self._queue.record_start(group, now_s)
                 return chosen
@@ -185,9 +183,6 @@
         if not self._admit(waiting, now_s):
             reason = "no place in time" if self._slot_share(now_s) else "no server"
             return self._refusal(reason, group, remaining_s, now_s)
-        if self._slot_limit(group, now_s) > self._slot_limit(_LEAST_URGENT, now_s):
-            # Those that wait may be less urgent ones, to which the limit applies.
-            self.dispatch()
         assigned_server = waiting.item.assigned_server
         try:
             outcome = await assigned_server
@@ -213,7 +208,7 @@
             Whether the request was queued.
         """
         self._queue.add(newcomer)
-        slot_share = self._slot_share(now_s, newcomer.group)
+        slot_share = self._slot_share(now_s)
         removed = self._queue.pop_unservable(newcomer, slot_share, now_s)
         for entry in removed:
             if entry is newcomer or entry.item.assigned_server.done():
@@ -241,21 +236,19 @@
         self._queue.record_end(group, duration_s, asyncio.get_running_loop().time())
         self.dispatch()
 
-    def _slot_share(self, now_s: float, group: request_queue.RequestGroup | None = None) -> float:
-        """Return this front's share of the slots of all usable servers for a group."""
+    def _slot_share(self, now_s: float) -> float:
+        """Return this front's share of the slots of all usable servers."""
         usable_servers = self._server_view.usable(self._service().name, now_s)
-        slot_limit = self._slot_limit(group, now_s)
+        slot_limit = self._slot_limit(now_s)
         share = self._room.shares(len(self._queue), now_s).ratio
         return share * sum(min(entry.slots, slot_limit) for entry in usable_servers)
 
-    def _slot_limit(self, group: request_queue.RequestGroup | None, now_s: float) -> float:
-        """Return the mean number of slots per engine that requests of a group may use."""
-        engine, target = self._service().engine, self._pace_target()
-        if engine is None or target is None or group is None:
-            return math.inf
-        if group.priority <= target.most_urgent:
+    def _slot_limit(self, now_s: float) -> float:
+        """Return the mean number of slots per engine with which answers are fast enough."""
+        engine, target_s = self._service().engine, self._pace_target_s()
+        if engine is None or target_s is None:
             return math.inf
-        return self._pace.requests_per_engine(engine, target.event_gap_s, now_s)
+        return self._pace.requests_per_engine(engine, target_s, now_s)
 
     def dispatch(self) -> None:
         """Assign servers to queued requests and refuse those that have expired."""
@@ -263,15 +256,9 @@
         self._update_pace(now_s)
         self.traffic.tick(now_s)
         self._refuse(self._queue.pop_expired(now_s))
-        most_urgent: int | None = None
-        while (first := self._queue.next_to_start(now_s, most_urgent)) is not None:
+        while (first := self._queue.next_to_start(now_s)) is not None:
             item = first.item
-            chosen = self._choose_server(item.excluded, now_s, item.origin, first.group)
-            target = self._pace_target()
-            if chosen is None and most_urgent is None and target is not None:
-                # The limit may apply to the first request and not to the most urgent ones.
-                most_urgent = target.most_urgent
-                continue
+            chosen = self._choose_server(item.excluded, now_s, item.origin)
             if chosen is None:
                 self._send_away(first, now_s)
                 return
@@ -305,7 +292,7 @@
         ]
         for ahead, entry in may_leave[:LEAVING_SCAN_LIMIT]:
             item = entry.item
-            chosen = self._choose_server(item.excluded, now_s, item.origin, entry.group, ahead)
+            chosen = self._choose_server(item.excluded, now_s, item.origin, ahead)
             if chosen is not None:
                 self._queue.discard(item)
                 self._assign(entry, chosen, now_s)
@@ -342,10 +329,9 @@
         excluded: Collection[ids.BackendServerId],
         now_s: float,
         origin: traffic_control.Origin,
-        group: request_queue.RequestGroup,
         ahead: int = 0,
     ) -> servers.ServerEntry | None:
-        chosen = self._find_server(excluded, now_s, origin, group, ahead)
+        chosen = self._find_server(excluded, now_s, origin, ahead)
         if chosen is None:
             return None
         self._server_load.record_start(chosen.id, now_s)
@@ -360,7 +346,6 @@
         excluded: Collection[ids.BackendServerId],
         now_s: float,
         origin: traffic_control.Origin | None = None,
-        group: request_queue.RequestGroup | None = None,
         ahead: int = 0,
     ) -> servers.ServerEntry | None:
         service = self._service()
@@ -379,13 +364,16 @@
         engine = service.engine
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
         reports_load = _reports_load(service)
-        slot_limit = self._slot_limit(group, now_s)
+        slot_limit = self._slot_limit(now_s)
         part = self._part(candidates, now_s) if reports_load else None
-        unreported = self._unreported_requests(part, now_s) if engine is not None else 0.0
+        # While the service is contended, the rates of the fronts are as their shares. Otherwise, all
+        # fronts are assumed to receive about the same rate.
+        fronts = 1.0 / part.shares.ratio if part is not None else float(self._front_count())
+        unreported = self._unreported_requests(fronts, now_s) if engine is not None else 0.0
         if (
             engine is not None
             and slot_limit < engine.slots
-            and not self._has_room(candidates, slot_limit, unreported, part, now_s)
+            and not self._has_room(candidates, slot_limit, part, now_s)
         ):
             return None
         if self.traffic.enabled and origin is not None and candidates:
@@ -449,13 +437,15 @@
         self,
         candidates: Collection[servers.ServerEntry],
         slot_limit: float,
-        unreported: float,
         part: free_slots.Part | None,
         now_s: float,
     ) -> bool:
         """Return whether the limit on the requests at all servers together allows one more."""
         room = pace_limit.room(slot_limit, len(candidates))
         if part is None:
+            # A front that serves nearly all callers would find no room if the others counted alike.
+            ratio = self._room.shares(len(self._queue), now_s).ratio
+            unreported = self._unreported_requests(1.0 / ratio, now_s)
             return self._server_load.total_requests(candidates, now_s) + unreported < room
         usage = self._server_load.usage(candidates, now_s)
         return part.allows_total(room - usage.reported, usage.added, self._room.rounding(now_s))
@@ -466,7 +456,7 @@
             return
         pause_s = self._pace.pause_s(now_s)
         self._queue.expected_times = answer_times.at_pace(service.engine, pause_s)
-        limit = self._slot_limit(_LEAST_URGENT, now_s)
+        limit = self._slot_limit(now_s)
         limited = limit < service.engine.slots
         if limited != self._limited or (limited and now_s - self._limit_logged_s > LOG_INTERVAL_S):
             self._limited, self._limit_logged_s = limited, now_s
@@ -485,17 +475,17 @@
             total = self._server_load.total_requests(usable_servers, now_s)
             self._pace.record_running(total / len(usable_servers))
 
-    def _unreported_requests(self, part: free_slots.Part | None, now_s: float) -> float:
+    def _unreported_requests(self, fronts: float, now_s: float) -> float:
         """Estimate the number of requests of other fronts that no server report includes yet.
 
-        While the service is contended, the rates of the fronts are as their shares. Otherwise, all
-        fronts are assumed to receive about the same rate.
+        Args:
+            fronts: Number of fronts, if all received requests at the rate of this one.
+            now_s: Monotonic time in seconds.
         """
         while self._dispatch_times_s and self._dispatch_times_s[0] < now_s - RATE_WINDOW_S:
             self._dispatch_times_s.popleft()
         rate_per_s = len(self._dispatch_times_s) / RATE_WINDOW_S
-        others = 1.0 / part.shares.ratio if part is not None else float(self._front_count())
-        return rate_per_s * (others - 1.0) * placement.REPORT_VISIBILITY_DELAY_S
+        return rate_per_s * (fronts - 1.0) * placement.REPORT_VISIBILITY_DELAY_S
 
     def _refusal(
         self, reason: str, group: request_queue.RequestGroup, remaining_s: float, now_s: float
@@ -504,7 +494,7 @@
         any_open = self._server_load.any_open(
             self._server_view.usable(service.name, now_s), _reports_load(service), now_s
         )
-        slot_share = self._slot_share(now_s, group)
+        slot_share = self._slot_share(now_s)
         return Refusal(
             reason,
             self._queue.retry_after_s(
