--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -366,8 +366,8 @@
         reports_load = _reports_load(service)
         slot_limit = self._slot_limit(now_s)
         part = self._part(candidates, now_s) if reports_load else None
-        # While the service is contended, the rates of the fronts are as their shares. Otherwise, all
-        # fronts are assumed to receive about the same rate.
+        # While the service is contended, the rates of the fronts are as their shares. Otherwise,
+        # all fronts are assumed to receive about the same rate.
         fronts = 1.0 / part.shares.ratio if part is not None else float(self._front_count())
         unreported = self._unreported_requests(fronts, now_s) if engine is not None else 0.0
         if (
