--- a/packages/gateway/tests/test_demand_exchange.py
+++ b/packages/gateway/tests/test_demand_exchange.py
@@ -9,20 +9,30 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    data_centre_traffic,
     members,
     pace_limit,
     placement,
     rates,
+    request_queue,
     routes,
     server_limits,
     server_notices,
     servers,
 )
-from gentianpaddle_gateway import demand_exchange, metrics, peers, service_queue
+from gentianpaddle_gateway import (
+    demand_exchange,
+    gateway_settings,
+    metrics,
+    peers,
+    service_queue,
+    traffic_control,
+)
 
 SERVICE = routes.ServiceName("s")
 ENGINE = routes.EngineCapacity(5, 1, 10.0, 1.0, 1e4, 512, 10_000, routes.ExpertLimits(1, 8, 4, 2))
 FRONTS, ENGINES = 4, 10
+GROUP = request_queue.RequestGroup()
 STARTS = 3
 
 
@@ -75,6 +85,9 @@
         view.front_count,
         pace_limit.PaceLimit(),
         lambda: None,
+        traffic_control.TrafficControl(
+            SERVICE, centre, gateway_settings.DataCentreTraffic(), loads
+        ),
         exchange.room(SERVICE),
     )
     return queue, exchange, loads
@@ -85,7 +98,10 @@
     route = routes.Route("r", "h", "/", kind, True, 8.0, 0.4, None, None, 2, False, 1, weights)
     try:
         async with asyncio.timeout(0.02):
-            found = await queue.acquire(route, (), now_s, now_s + 8.0, None, lambda: False)
+            traffic = data_centre_traffic.RequestTraffic(1_000, 0.0)
+            found = await queue.acquire(
+                route, GROUP, (), now_s, now_s + 8.0, None, lambda: False, traffic
+            )
     except TimeoutError:
         return None
     return found if isinstance(found, servers.ServerEntry) else None
@@ -124,7 +140,7 @@
             loads.record_report(server, 5, True, 1.0, now_s)
             loads.record_report(server, 5, True, 1.0, now_s)
         assert await acquire(queue, now_s) is None
-        queue.release(first.id, 1.0)
+        queue.release(first.id, 1.0, GROUP)
         replacement = await acquire(queue, now_s)
         assert replacement is not None
         assert replacement.id == first.id
--- a/packages/gateway/tests/test_request_priority.py
+++ b/packages/gateway/tests/test_request_priority.py
@@ -11,6 +11,8 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    data_centre_traffic,
+    members,
     pace_limit,
     placement,
     rates,
@@ -20,11 +22,25 @@
     server_notices,
     servers,
 )
-from gentianpaddle_gateway import metrics, service_queue
+from gentianpaddle_gateway import (
+    demand_exchange,
+    gateway_settings,
+    metrics,
+    service_queue,
+    traffic_control,
+)
 from gentianpaddle_platform import documents as decoders
 from gentianpaddle_platform import headers
 
 SERVICE = routes.Service(routes.ServiceName("app"), 50, 0.0, None)
+FRONT = members.Member(ids.VmId("f"), ids.DataCentreId("a"), "10.0.0.1", 1, "10.0.0.1:2", None)
+
+
+def new_room() -> demand_exchange.ServiceRoom:
+    """Create the room of the only front."""
+    view = members.MemberView(FRONT)
+    view.replace([FRONT], 0.0)
+    return demand_exchange.DemandExchange(view, metrics.new_metrics()).room(SERVICE.name)
 
 
 def new_queue() -> service_queue.ServiceQueue:
@@ -44,6 +60,12 @@
         lambda: 1,
         pace_limit.PaceLimit(),
         lambda: None,
+        traffic_control.TrafficControl(
+            SERVICE.name, ids.DataCentreId("a"), gateway_settings.DataCentreTraffic(), load
+        ),
+        demand_exchange.DemandExchange(members.MemberView(FRONT), metrics.new_metrics()).room(
+            SERVICE.name
+        ),
     )
 
 
@@ -63,7 +85,10 @@
         def acquire(priority: int) -> typing.Coroutine[typing.Any, typing.Any, typing.Any]:
             group = request_queue.RequestGroup((priority, priority))
             excluded = ("i-0",) if ran_before else ()
-            return queue.acquire(route, group, excluded, now_s, now_s + 3.5, None, lambda: False)
+            traffic = data_centre_traffic.RequestTraffic(1_000, 0.0)
+            return queue.acquire(
+                route, group, excluded, now_s, now_s + 3.5, None, lambda: False, traffic
+            )
 
         # Each takes a second of the one slot, and must start within 2.8 s.
         waiting = [asyncio.create_task(acquire(2)) for _ in range(3)]
--- a/packages/gateway/tests/test_traffic_control.py
+++ b/packages/gateway/tests/test_traffic_control.py
@@ -12,15 +12,24 @@
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
     data_centre_traffic,
+    members,
     pace_limit,
     placement,
     rates,
+    request_queue,
     routes,
     server_limits,
     server_notices,
     servers,
 )
-from gentianpaddle_gateway import gateway_settings, main, service_queue, traffic_control
+from gentianpaddle_gateway import (
+    demand_exchange,
+    gateway_settings,
+    main,
+    metrics,
+    service_queue,
+    traffic_control,
+)
 
 SERVICE = routes.ServiceName("app")
 HOME = ids.DataCentreId("a")
@@ -58,6 +67,17 @@
     )
 
 
+GROUP = request_queue.RequestGroup()
+MEMBER = members.Member(ids.VmId("f"), HOME, "10.0.0.1", 1, "10.0.0.1:2", None)
+
+
+def new_room() -> demand_exchange.ServiceRoom:
+    """Create the room of the only front."""
+    view = members.MemberView(MEMBER)
+    view.replace([MEMBER], 0.0)
+    return demand_exchange.DemandExchange(view, metrics.new_metrics()).room(SERVICE)
+
+
 class Front:
     """Queue of one front with nine servers in three data centres."""
 
@@ -83,6 +103,9 @@
             traffic_control.TrafficControl(
                 SERVICE, HOME, gateway_settings.DataCentreTraffic(enabled), self.load
             ),
+            demand_exchange.DemandExchange(members.MemberView(MEMBER), metrics.new_metrics()).room(
+                SERVICE
+            ),
         )
 
     async def acquire(
@@ -91,7 +114,7 @@
         now_s = asyncio.get_running_loop().time()
         traffic = data_centre_traffic.RequestTraffic(1_000, 0.0)
         found = await self.queue.acquire(
-            route(), excluded, now_s, now_s + 4.0, None, lambda: False, traffic
+            route(), GROUP, excluded, now_s, now_s + 4.0, None, lambda: False, traffic
         )
         assert isinstance(found, servers.ServerEntry)
         return found, traffic.reason
@@ -111,7 +134,7 @@
             now_s = asyncio.get_running_loop().time()
             if len(running) == 40 or (running and rng.random() < 0.45):
                 ended = running.pop(rng.randrange(len(running)))
-                front.queue.release(ended, 0.1)
+                front.queue.release(ended, 0.1, GROUP)
                 expected.record_end(ended)
                 continue
             chosen, reason = await front.acquire()
@@ -132,7 +155,7 @@
     async def scenario() -> None:
         front = Front(enabled=True)
         chosen, _ = await front.acquire()
-        front.queue.release(chosen.id, 0.1)
+        front.queue.release(chosen.id, 0.1, GROUP)
         room = 3 * (2 + service_queue.PLAIN_SERVER_QUEUE_LIMIT)
         found = [await front.acquire() for _ in range(room)]
         assert {chosen.data_centre for chosen, _ in found} == {HOME}
@@ -145,7 +168,7 @@
         away = [task.result() for task in tasks]
         assert HOME not in {chosen.data_centre for chosen, _ in away}
         assert {reason for _, reason in away} == {Reason.HOME_FULL}
-        front.queue.release(found[0][0].id, 0.1)
+        front.queue.release(found[0][0].id, 0.1, GROUP)
         chosen, reason = await front.acquire()
         assert (chosen.data_centre, reason) == (HOME, None)
 
