--- a/packages/gateway/tests/test_request_priority.py
+++ b/packages/gateway/tests/test_request_priority.py
@@ -63,9 +63,7 @@
         traffic_control.TrafficControl(
             SERVICE.name, ids.DataCentreId("a"), gateway_settings.DataCentreTraffic(), load
         ),
-        demand_exchange.DemandExchange(members.MemberView(FRONT), metrics.new_metrics()).room(
-            SERVICE.name
-        ),
+        new_room(),
     )
 
 
--- a/packages/gateway/tests/test_traffic_control.py
+++ b/packages/gateway/tests/test_traffic_control.py
@@ -103,9 +103,7 @@
             traffic_control.TrafficControl(
                 SERVICE, HOME, gateway_settings.DataCentreTraffic(enabled), self.load
             ),
-            demand_exchange.DemandExchange(members.MemberView(MEMBER), metrics.new_metrics()).room(
-                SERVICE
-            ),
+            new_room(),
         )
 
     async def acquire(
