--- a/benchmarks/store_calls.py
+++ b/benchmarks/store_calls.py
@@ -110,7 +110,7 @@
 
 
 def _label(request: http.Request) -> tuple[str, str]:
-    kind = request.path.removeprefix("/-/objects/").partition("/")[0]
+    kind = request.path.removeprefix(store.PATH_PREFIX).partition("/")[0]
     if request.method == "GET":
         call = (
             "watch"
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -212,17 +212,10 @@
             return
         timeout_s = min(route.timeout_s, head.remaining_s or DEFAULT_TIMEOUT_S)
         expires_at_s = request.arrived_s + timeout_s
-        if self._stop is not None and not self._stop.takes(
-            asyncio.get_running_loop().time(), expires_at_s
-        ):
-            await self._responses.refuse(
-                head,
-                responder,
-                "stopping",
-                STOPPING_RETRY_AFTER_S,
-                route.name,
-                request.arrived_s,
-            )
+        now_s = asyncio.get_running_loop().time()
+        if self._stop is not None and not self._stop.takes(now_s, expires_at_s):
+            wait_s, arrived_s = STOPPING_RETRY_AFTER_S, request.arrived_s
+            await self._responses.refuse(head, responder, "stopping", wait_s, route.name, arrived_s)
             return
         context = self._new_context(
             request, head, route, service, organisation, expires_at_s, table
--- a/packages/gateway/tests/test_traffic_control.py
+++ b/packages/gateway/tests/test_traffic_control.py
@@ -27,6 +27,7 @@
     gateway_settings,
     main,
     metrics,
+    server_selection,
     service_queue,
     traffic_control,
 )
@@ -136,7 +137,7 @@
                 expected.record_end(ended)
                 continue
             chosen, reason = await front.acquire()
-            limit = service_queue.PLAIN_SERVER_QUEUE_LIMIT
+            limit = server_selection.PLAIN_SERVER_QUEUE_LIMIT
             assert expected.choose(front.fleet, (), limit, False, now_s) == chosen
             assert reason is None
             expected.record_start(chosen.id, now_s)
@@ -154,7 +155,7 @@
         front = Front(enabled=True)
         chosen, _ = await front.acquire()
         front.queue.release(chosen.id, 0.1, GROUP)
-        room = 3 * (2 + service_queue.PLAIN_SERVER_QUEUE_LIMIT)
+        room = 3 * (2 + server_selection.PLAIN_SERVER_QUEUE_LIMIT)
         found = [await front.acquire() for _ in range(room)]
         assert {chosen.data_centre for chosen, _ in found} == {HOME}
         assert {reason for _, reason in found} == {None}
@@ -190,7 +191,7 @@
 
     async def scenario() -> None:
         front = Front(enabled=True)
-        for _ in range(3 * (2 + service_queue.PLAIN_SERVER_QUEUE_LIMIT)):
+        for _ in range(3 * (2 + server_selection.PLAIN_SERVER_QUEUE_LIMIT)):
             chosen, _ = await front.acquire()
         _, reason = await front.acquire((chosen.id,))
         assert reason is Reason.REPEAT
