Let the callers of a front that was stopped in a test end with it

A front that ended 4.2 s after SIGTERM had its successor ready within the 6 s for which the callers of the test connect anew. The callers send until the process is gone, as before.

--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -66,6 +66,11 @@
         self._host = host
         self._rng = rng
         self._stopped_s: float | None = None
+        self._gone = False
+
+    def process_ended(self) -> None:
+        """Note that the front is gone; its successor at the same address has callers of its own."""
+        self._gone = True
 
     def stop_begins(self) -> float:
         """Note that SIGTERM is sent now, and return the time."""
@@ -80,7 +85,9 @@
             idle_s: Longest time for which a connection is idle.
         """
         loop = asyncio.get_running_loop()
-        while self._stopped_s is None or loop.time() - self._stopped_s < DIRECTORY_ANSWER_S:
+        while not self._gone and (
+            self._stopped_s is None or loop.time() - self._stopped_s < DIRECTORY_ANSWER_S
+        ):
             try:
                 reader, writer = await asyncio.open_connection(self._host, front_system.PORT + 1)
             except OSError:
@@ -208,6 +215,7 @@
         process = running.processes[index]
         process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(process.wait(), GRACE_S) == 0
+        callers.process_ended()
         await running.start_front(HOSTS[index])
         await running.until(lambda: running.ready(HOSTS[index]))
 
