--- a/packages/gateway/src/gentianpaddle_gateway/server_selection.py
+++ b/packages/gateway/src/gentianpaddle_gateway/server_selection.py
@@ -37,6 +37,11 @@
 """Length of the window in which the request rate is measured. A front of a large site gets four
 requests per second."""
 
+UPDATE_INTERVAL_S = 0.045
+"""Minimum interval between updates of what follows from all reports; slightly less than
+`service_queue.DISPATCH_INTERVAL_S`. Requests are dispatched several hundred times per second, and
+an update reads the loads of all engines."""
+
 _logger = logging.getLogger("gentianpaddle.requests")
 
 
@@ -83,6 +88,11 @@
         self._traffic = traffic
         self._room = room
         self._queue = queue
+        self._slot_limit = math.inf
+        """Mean number of slots per engine with which answers are fast enough."""
+        self._pace_updated_s = -math.inf
+        self._contention_checked_s = -math.inf
+        self._contended = False
         self._limited = False
         self._limit_logged_s = 0.0
         self._dispatch_times_s: collections.deque[float] = collections.deque()
@@ -94,17 +104,10 @@
             now_s: Monotonic time in seconds.
         """
         usable_servers = self._server_view.usable(self._service().name, now_s)
-        slot_limit = self._slot_limit(now_s)
+        slot_limit = self._slot_limit
         share = self._room.shares(len(self._queue), now_s).ratio
         return share * sum(min(entry.slots, slot_limit) for entry in usable_servers)
 
-    def _slot_limit(self, now_s: float) -> float:
-        """Return the mean number of slots per engine with which answers are fast enough."""
-        engine, target_s = self._service().engine, self._pace_target_s()
-        if engine is None or target_s is None:
-            return math.inf
-        return self._pace.requests_per_engine(engine, target_s, now_s)
-
     def choose(
         self,
         excluded: Collection[ids.BackendServerId],
@@ -164,7 +167,7 @@
         engine = service.engine
         queue_limit = ENGINE_QUEUE_LIMIT if engine is not None else PLAIN_SERVER_QUEUE_LIMIT
         reported = reports_load(service)
-        slot_limit = self._slot_limit(now_s)
+        slot_limit = self._slot_limit
         part = self._part(candidates, now_s) if reported else None
         # While the service is contended, the rates of the fronts are as their shares. Otherwise,
         # all fronts are assumed to receive about the same rate.
@@ -229,9 +232,14 @@
         self, candidates: Collection[servers.ServerEntry], now_s: float
     ) -> free_slots.Part | None:
         """Return this front's part of the servers, or None while the service is not contended."""
+        if not self._contended and now_s - self._contention_checked_s < UPDATE_INTERVAL_S:
+            return None
+        self._contention_checked_s = now_s
         usage = self._server_load.usage(candidates, now_s)
         slots = sum(entry.slots for entry in candidates)
-        return self._room.part(usage, slots, len(self._queue), now_s)
+        part = self._room.part(usage, slots, len(self._queue), now_s)
+        self._contended = part is not None
+        return part
 
     def _has_room(
         self,
@@ -257,11 +265,16 @@
             now_s: Monotonic time in seconds.
         """
         service = self._service()
-        if service.engine is None:
+        if service.engine is None or now_s - self._pace_updated_s < UPDATE_INTERVAL_S:
             return
+        self._pace_updated_s = now_s
         pause_s = self._pace.pause_s(now_s)
         self._queue.expected_times = answer_times.at_pace(service.engine, pause_s)
-        limit = self._slot_limit(now_s)
+        target_s = self._pace_target_s()
+        limit = math.inf
+        if target_s is not None:
+            limit = self._pace.requests_per_engine(service.engine, target_s, now_s)
+        self._slot_limit = limit
         limited = limit < service.engine.slots
         if limited != self._limited or (limited and now_s - self._limit_logged_s > LOG_INTERVAL_S):
             self._limited, self._limit_logged_s = limited, now_s
--- a/packages/gateway/src/gentianpaddle_gateway/service_queue.py
+++ b/packages/gateway/src/gentianpaddle_gateway/service_queue.py
@@ -233,6 +233,8 @@
         now_s = asyncio.get_running_loop().time()
         self._selection.update_pace(now_s)
         self.traffic.tick(now_s)
+        if not self._queue:
+            return
         self._refuse(self._queue.pop_expired(now_s))
         while (first := self._queue.next_to_start(now_s)) is not None:
             item = first.item
