--- a/packages/core/src/gentianpaddle_core/serving/placement.py
+++ b/packages/core/src/gentianpaddle_core/serving/placement.py
@@ -180,7 +180,10 @@
         Args:
             server: The server.
         """
-        return self._load_by_id.setdefault(server, ServerLoad())
+        known = self._load_by_id.get(server)
+        if known is None:
+            known = self._load_by_id[server] = ServerLoad()
+        return known
 
     def record_report(
         self,
