--- a/packages/gateway/src/gentianpaddle_gateway/main.py
+++ b/packages/gateway/src/gentianpaddle_gateway/main.py
@@ -21,8 +21,9 @@
 
 MMAP_THRESHOLD_BYTES = 131_072
 """Size from which on the allocator of the C library takes each block from the system and gives it
-back when it is freed. glibc raises this size by itself to that of the largest freed block; bodies
-then fragment the heap: with 30 MB for large bodies, a front grew from 27 to 140 MB."""
+back when it is freed. glibc raises this size by itself to that of the largest freed block. With 90
+callers of large bodies at a setting of 152 MB, a front reached 140 MB without this and 130 MB with
+it."""
 
 _M_MMAP_THRESHOLD = -3
 """Number of the parameter of glibc, see mallopt(3)."""
