Pass on the sound events before a spoiled one

Cause: EventReader.feed raised an exception at an event that did not follow. The sound events before it in the same read had already moved last_id and were lost with the exception, so the next server continued behind them. The front's log shows it: eight attempts ended with "missing event: 84 follows 3" while the caller had events up to 2.

Change: a violation is a state of the reader. feed returns the events up to it, they are written to the caller, and then the attempt is given up. The three kinds of violation had the same fault. The size of events without an id is counted for each body, as the next server starts anew.

--- a/packages/core/src/gentianpaddle_core/serving/event_stream.py
+++ b/packages/core/src/gentianpaddle_core/serving/event_stream.py
@@ -28,10 +28,6 @@
     """Value of the event's id field, or None without one."""
 
 
-class InvalidStreamError(Exception):
-    """An event is missing, or the body is not an event stream."""
-
-
 class EventReader:
     """Parses a body into events and drops those that the caller already has.
 
@@ -45,6 +41,7 @@
         """Number of buffered bytes that contain no end of an event."""
         self._unnumbered_bytes = 0
         self._last_id = last_id
+        self._violation: str | None = None
 
     @property
     def last_id(self) -> str | None:
@@ -56,6 +53,15 @@
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._buffer)
 
+    @property
+    def violation(self) -> str | None:
+        """Why the rest of the body cannot be used, or None if it can.
+
+        An event is missing or exceeds `MAX_EVENT_BYTES`, or events without an id exceed
+        `MAX_UNNUMBERED_BYTES`.
+        """
+        return self._violation
+
     def feed(self, data: bytes) -> list[Event]:
         """Parse the next bytes of the body.
 
@@ -63,12 +69,11 @@
             data: The next bytes.
 
         Returns:
-            Complete events that the caller does not have yet, in order. Comments are dropped.
-
-        Raises:
-            InvalidStreamError: An event is missing, an event exceeds `MAX_EVENT_BYTES`, or events
-                without an id exceed `MAX_UNNUMBERED_BYTES`.
+            Complete events that the caller does not have yet, in order, up to the first violation.
+            Comments are dropped.
         """
+        if self._violation is not None:
+            return []
         self._buffer += data
         events = []
         start = 0
@@ -76,25 +81,32 @@
         for end in _EVENT_END.finditer(self._buffer, max(0, self._searched_bytes - 3)):
             event = self._parse_event(bytes(self._buffer[start : end.end()]))
             start = end.end()
+            if self._violation is not None:
+                # The events before this one are still passed on, as `last_id` counts them.
+                break
             if event is not None:
                 events.append(event)
         del self._buffer[:start]
         self._searched_bytes = len(self._buffer)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise InvalidStreamError(f"event not terminated within {MAX_EVENT_BYTES} bytes")
+        if self._violation is None and len(self._buffer) > MAX_EVENT_BYTES:
+            self._violation = f"event not terminated within {MAX_EVENT_BYTES} bytes"
         return events
 
-    def discard_partial(self) -> None:
-        """Discard an incomplete event, as the next bytes come from another server."""
+    def start_body(self) -> None:
+        """Prepare for the body of another server, which continues after `last_id`."""
         self._buffer.clear()
         self._searched_bytes = 0
+        self._unnumbered_bytes = 0
+        self._violation = None
 
     def _parse_event(self, data: bytes) -> Event | None:
+        """Return an event that the caller does not have yet, or None; may set the violation."""
         id_match = _EVENT_ID.search(data)
         if id_match is None:
             self._unnumbered_bytes += len(data)
             if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
-                raise InvalidStreamError(f"no event id within {MAX_UNNUMBERED_BYTES} bytes")
+                self._violation = f"no event id within {MAX_UNNUMBERED_BYTES} bytes"
+                return None
             return Event(data, None) if _EVENT_FIELD.search(data) else None
         self._unnumbered_bytes = 0
         event_id = id_match[1].decode("latin-1")
@@ -103,7 +115,8 @@
             if new_number <= last_number:
                 return None
             if new_number != last_number + 1:
-                raise InvalidStreamError(f"missing event: {new_number} follows {last_number}")
+                self._violation = f"missing event: {new_number} follows {last_number}"
+                return None
         self._last_id = event_id
         return Event(data, event_id)
 
--- a/packages/core/tests/test_serving_decisions.py
+++ b/packages/core/tests/test_serving_decisions.py
@@ -101,17 +101,40 @@
     """Guards against truncated or duplicate events after a stream moved to another server."""
     reader = event_stream.EventReader(None)
     first = reader.feed(EVENTS[0] + EVENTS[1] + EVENTS[2][:6])
-    reader.discard_partial()
+    reader.start_body()
     second = reader.feed(b"".join(EVENTS[1:]))
     assert [event.data for event in first + second] == EVENTS
 
 
-@pytest.mark.parametrize("body", [EVENTS[0] + EVENTS[2], b"x" * 1_100_000])
-def test_a_missing_event_breaks_the_stream(body: bytes) -> None:
-    """Guards against a gap in the event ids or an unterminated event going unnoticed."""
+@pytest.mark.parametrize(
+    ("body", "passed_on"),
+    [
+        (EVENTS[0] + EVENTS[2], EVENTS[:1]),
+        (b"x" * 1_100_000, []),
+        (b"".join(EVENTS[:3]) + b"id: 84\ndata: x4\n\n" + EVENTS[4], EVENTS[:3]),
+        (EVENTS[0] + b"data: " + b"x" * event_stream.MAX_EVENT_BYTES, EVENTS[:1]),
+        (EVENTS[0] + b":\n\n" * event_stream.MAX_UNNUMBERED_BYTES, EVENTS[:1]),
+    ],
+)
+@pytest.mark.parametrize("size", [7, 2_000_000])
+def test_events_before_a_violation_are_passed_on(
+    body: bytes, passed_on: list[bytes], size: int
+) -> None:
+    """Guards against a gap that goes unnoticed, and against a resumption behind lost events.
+
+    The other server continues after `last_id`, so exactly the events up to it must be passed on,
+    however many of them arrive together with the violation.
+    """
     reader = event_stream.EventReader(None)
-    with pytest.raises(event_stream.InvalidStreamError):
-        reader.feed(body)
+    found = []
+    for start in range(0, len(body), size):
+        found += reader.feed(body[start : start + size])
+    assert reader.violation is not None
+    assert [event.data for event in found] == passed_on
+    assert reader.last_id == (str(len(passed_on)) if passed_on else None)
+    reader.start_body()
+    resumed = reader.feed(b"".join(EVENTS[len(passed_on) :]))
+    assert [event.data for event in found + resumed] == EVENTS
 
 
 def entry(
--- a/packages/gateway/src/gentianpaddle_gateway/attempt.py
+++ b/packages/gateway/src/gentianpaddle_gateway/attempt.py
@@ -157,8 +157,6 @@
             closed_by_server=connection.closed_by_peer,
             out_of_time=out_of_time,
         )
-    except event_stream.InvalidStreamError as error:
-        return attempts.Lost(str(error))
     except TimeoutError:
         return attempts.Lost("no answer in time")
     finally:
@@ -244,20 +242,21 @@
     responder: http_server.Responder,
     watch: silence_watch.SilenceWatch,
 ) -> AttemptOutcome:
-    context.reader.discard_partial()
+    context.reader.start_body()
     while (part := await connection.read_body_part()) is not None:
         context.answer_bytes += len(part)
         events = context.reader.feed(part)
-        if not events:
-            continue
-        watch.record_events()
-        context.record_answer_begun()
-        context.last_event_s = asyncio.get_running_loop().time()
-        if not responder.started:
-            context.first_event_s = context.last_event_s
-            await responder.start(response.status, headers.end_to_end_headers(response.headers))
-        await responder.write(b"".join(event.data for event in events))
-        watch.caller_has_received()
+        if events:
+            watch.record_events()
+            context.record_answer_begun()
+            context.last_event_s = asyncio.get_running_loop().time()
+            if not responder.started:
+                context.first_event_s = context.last_event_s
+                await responder.start(response.status, headers.end_to_end_headers(response.headers))
+            await responder.write(b"".join(event.data for event in events))
+            watch.caller_has_received()
+        if context.reader.violation is not None:
+            return attempts.Lost(context.reader.violation)
     if context.reader.partial:
         return attempts.Lost("the stream ended within an event")
     if context.reader.last_id is None and not _has_framing(response):
