Require consecutive ids within the body of a stream

Callers could get a complete, signed stream that lacked events or had one twice (ORDER) if a server spoiled the id of its first or last event.

Cause: a lower id always counted as an event that the caller already has, which is meant for the start of a resumed body only; and any last id was taken for a sound point of resumption, also that of a first event which the next one contradicts, or none at all.

Change: ids must follow on each other within a body. If the last id that was passed on is doubtful or missing, the stream is cut and not resumed. A number is still not compared with a Last-Event-Id of a caller that is no number.

--- a/packages/core/src/gentianpaddle_core/serving/attempts.py
+++ b/packages/core/src/gentianpaddle_core/serving/attempts.py
@@ -159,6 +159,7 @@
     history: AttemptHistory,
     result: AttemptResult,
     remaining_s: float,
+    resumable: bool,
     budget: typing.Callable[[], bool],
 ) -> NextStep:
     """Decide what to do after an attempt.
@@ -168,6 +169,7 @@
         history: Attempts of the request, including this one.
         result: Result of this attempt.
         remaining_s: Time left for the request, in seconds.
+        resumable: Whether another server can continue after what the caller has received.
         budget: Takes one retry from the shared budget and returns whether it was granted; called
             only if every other condition allows a retry and the request may have arrived.
 
@@ -177,7 +179,9 @@
     if isinstance(result, Lost) and result.out_of_time:
         return FailRequest(502)
     may_have_run = history.runs > 0
-    may_retry = not may_have_run or (route.repeatable and history.runs < route.max_attempts)
+    may_retry = not may_have_run or (
+        route.repeatable and resumable and history.runs < route.max_attempts
+    )
     within_limits = remaining_s > MIN_RETRY_TIME_S and history.total_attempts < MAX_TOTAL_ATTEMPTS
     needs_budget = not isinstance(result, NotRun) or result.arrived
     if may_retry and within_limits and (not needs_budget or budget()):
--- a/packages/core/src/gentianpaddle_core/serving/event_stream.py
+++ b/packages/core/src/gentianpaddle_core/serving/event_stream.py
@@ -41,7 +41,16 @@
         """Number of buffered bytes that contain no end of an event."""
         self._unnumbered_bytes = 0
         self._last_id = last_id
+        self._previous_id: str | None = None
+        """Id of the previous event of the present body, also of one that was dropped."""
+        self._last_id_confirmed = True
+        """Whether `last_id` is the caller's or followed on another id."""
+        self._last_id_stated = True
+        """Whether `last_id` is what the caller stated."""
+        self._ends_unnumbered = False
+        """Whether the last event returned by `feed` has no id."""
         self._violation: str | None = None
+        self._last_id_doubtful = False
 
     @property
     def last_id(self) -> str | None:
@@ -57,11 +66,20 @@
     def violation(self) -> str | None:
         """Why the rest of the body cannot be used, or None if it can.
 
-        An event is missing or exceeds `MAX_EVENT_BYTES`, or events without an id exceed
-        `MAX_UNNUMBERED_BYTES`.
+        The ids of two events do not follow on each other, an event exceeds `MAX_EVENT_BYTES`, or
+        events without an id exceed `MAX_UNNUMBERED_BYTES`.
         """
         return self._violation
 
+    @property
+    def resumable(self) -> bool:
+        """Whether another server can continue after the events returned by `feed`.
+
+        Otherwise an event could be missing or come twice: the last event has no id, or its id may
+        be wrong.
+        """
+        return not self._ends_unnumbered and not self._last_id_doubtful
+
     def feed(self, data: bytes) -> list[Event]:
         """Parse the next bytes of the body.
 
@@ -97,6 +115,7 @@
         self._buffer.clear()
         self._searched_bytes = 0
         self._unnumbered_bytes = 0
+        self._previous_id = None
         self._violation = None
 
     def _parse_event(self, data: bytes) -> Event | None:
@@ -107,19 +126,51 @@
             if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
                 self._violation = f"no event id within {MAX_UNNUMBERED_BYTES} bytes"
                 return None
-            return Event(data, None) if _EVENT_FIELD.search(data) else None
+            if _EVENT_FIELD.search(data) is None:
+                return None
+            self._ends_unnumbered = True
+            return Event(data, None)
         self._unnumbered_bytes = 0
         event_id = id_match[1].decode("latin-1")
-        last_number, new_number = _event_number(self._last_id), _event_number(event_id)
-        if last_number is not None and new_number is not None:
-            if new_number <= last_number:
-                return None
-            if new_number != last_number + 1:
-                self._violation = f"missing event: {new_number} follows {last_number}"
-                return None
+        previous_id = self._previous_id if self._previous_id is not None else self._resumed_after()
+        is_first = self._previous_id is None
+        self._previous_id = event_id
+        if is_first and _is_repeated(event_id, self._last_id):
+            # A server may send events once more that precede the point of resumption.
+            return None
+        if previous_id is not None and not _follows(event_id, previous_id):
+            self._violation = f"event {event_id[:20]} follows {previous_id[:20]}"
+            # Either id may be the wrong one.
+            self._last_id_doubtful = not self._last_id_confirmed
+            return None
+        if _is_repeated(event_id, self._last_id):
+            return None
+        self._last_id_confirmed = previous_id is not None
+        self._ends_unnumbered = False
         self._last_id = event_id
+        self._last_id_stated = False
         return Event(data, event_id)
 
+    def _resumed_after(self) -> str | None:
+        """Return the id that the first event of a body must follow, or None for any."""
+        if self._last_id_stated and _event_number(self._last_id) is None:
+            # Callers may state an id that no server has sent.
+            return None
+        return self._last_id
+
+
+def _follows(event_id: str, previous_id: str) -> bool:
+    """Return whether ids may follow on each other; only numbers can be compared."""
+    number, previous = _event_number(event_id), _event_number(previous_id)
+    if number is None or previous is None:
+        return number is previous
+    return number == previous + 1
+
+
+def _is_repeated(event_id: str, last_id: str | None) -> bool:
+    number, last = _event_number(event_id), _event_number(last_id)
+    return number is not None and last is not None and number <= last
+
 
 def _event_number(event_id: str | None) -> int | None:
     return int(event_id) if event_id is not None and event_id.isdecimal() else None
--- a/packages/gateway/src/gentianpaddle_gateway/forwarder.py
+++ b/packages/gateway/src/gentianpaddle_gateway/forwarder.py
@@ -371,7 +371,8 @@
         def may_move() -> bool:
             now_s = asyncio.get_running_loop().time()
             context.retry_acquired = (
-                attempts.may_move(
+                context.reader.resumable
+                and attempts.may_move(
                     context.route,
                     context.history,
                     context.remaining_s(),
@@ -384,9 +385,11 @@
 
         def may_repeat() -> bool:
             now_s = asyncio.get_running_loop().time()
-            context.retry_acquired = attempts.may_repeat(
-                context.route, context.history
-            ) and self._budget(context.service.name).try_acquire(self._front_count(), now_s)
+            context.retry_acquired = (
+                context.reader.resumable
+                and attempts.may_repeat(context.route, context.history)
+                and self._budget(context.service.name).try_acquire(self._front_count(), now_s)
+            )
             return context.retry_acquired
 
         return silence_watch.Supervision(
@@ -411,6 +414,7 @@
                 context.history,
                 result,
                 context.remaining_s(),
+                context.reader.resumable,
                 lambda: (
                     context.retry_acquired or budget.try_acquire(self._front_count(), loop.time())
                 ),
