Hold fatal requests however many other answers are lost

Cause: a front remembered at most 64 crashes. A lost answer first counts as one, and above 64 the crashes without parts of prompts went first. So after 64 lost answers each crash of the fatal request was forgotten as it was added. Evidence: with the requests in the log line "crash" (new) each of its crashes has the same fingerprint, none innocent; in a trial that also logged the records, 64 were remembered and the new one was not.

Change: crashes of a request are counted by its fingerprint, apart from all other losses (request_crashes). Requests that were lost once do not displace those that were lost more often. Of the records of crashes with parts of prompts, those that matter least for what is held are forgotten first; lost answers displaced a fatal part too. Collectors repeat only what they hold, for the same reason.

--- a/packages/core/src/gentianpaddle_core/serving/crash_records.py
+++ b/packages/core/src/gentianpaddle_core/serving/crash_records.py
@@ -12,6 +12,9 @@
 """What may make a request crash servers: a part of its prompt that other requests may share, or its
 fingerprint, which is the same for all copies of the request."""
 
+SAME_CRASH_S = 2.0
+"""Maximum time between the observations of one crash. A server needs longer to restart."""
+
 MAX_CAUSES = 64
 """Maximum number of causes in each set of a record."""
 
--- a/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
+++ b/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
@@ -5,18 +5,21 @@
 among the requests whose answer had not begun, and most likely one whose answer was just about to
 begin. What is part of an answer that began is innocent. Often one part is left after one crash.
 
-Each crash is one record. Records are exchanged between the processes, as each of them sees only its
-own requests, and merging them in any order and any number of times gives the same state.
+Each crash is one record, but the crashes of single requests are counted apart (`request_crashes`),
+as many answers can be lost between two copies of a request. Records are exchanged between the
+processes, as each of them sees only its own requests, and merging them in any order and any number
+of times gives the same state.
 """
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import crash_records, silence
+from gentianpaddle_core.serving import crash_records, request_crashes, silence
 
 RECORD_AGE_S = 3_600.0
 """Time for which a crash is remembered; much longer than the intervals between trials."""
@@ -24,9 +27,6 @@
 INNOCENCE_AGE_S = 60.0
 """Time before a crash for which an answer that began proves its parts innocent of the crash."""
 
-SAME_CRASH_S = 2.0
-"""Maximum time between the observations of one crash. A server needs longer to restart."""
-
 STALL_EVIDENCE_S = 1.0
 """Time after which a lost request proves no crash of its own server if nothing else has made
 progress. When a rank crashes, all ranks of its group stall for about 1.5 s and then break off."""
@@ -65,7 +65,7 @@
 trial that crashes a rank costs its group about 4 s."""
 
 MAX_RECORDS = 64
-"""Maximum number of crashes that are remembered."""
+"""Maximum number of crashes that are remembered with parts of prompts, and of those without."""
 
 MAX_INNOCENT = 8_192
 """Maximum number of causes whose last answer is remembered."""
@@ -89,17 +89,20 @@
 
     def __init__(self) -> None:
         self._crashes: list[crash_records.Crash] = []
+        self._requests = request_crashes.RequestCrashes(RECORD_AGE_S)
         self._answered_s_by_cause: collections.OrderedDict[crash_records.Cause, float] = (
             collections.OrderedDict()
         )
         self._unproven: set[crash_records.Cause] = set()
         """Causes of all crashes that were not part of an answer that began."""
         self._blame_by_part: dict[crash_records.Cause, float] = {}
-        self._crashes_by_cause: dict[crash_records.Cause, int] = {}
-        self._last_crash_s_by_cause: dict[crash_records.Cause, float] = {}
+        self._crashes_by_part: dict[crash_records.Cause, int] = {}
+        self._last_crash_s_by_part: dict[crash_records.Cause, float] = {}
         self._trial_s_by_cause: dict[crash_records.Cause, float] = {}
 
-    def record_answer(self, causes: crash_records.RequestCauses, now_s: float) -> bool:
+    def record_answer(
+        self, causes: crash_records.RequestCauses, now_s: float
+    ) -> list[crash_records.Crash]:
         """Record that the answer to a request has begun, which proves it innocent.
 
         Args:
@@ -107,24 +110,38 @@
             now_s: Monotonic time in seconds.
 
         Returns:
-            Whether a suspect was cleared, so that the other processes should learn of it.
+            Crashes of which something was a suspect until now, so that the other processes should
+            learn of it; mostly none.
         """
         for cause in causes:
             self._answered_s_by_cause[cause] = now_s
             self._answered_s_by_cause.move_to_end(cause)
         while len(self._answered_s_by_cause) > MAX_INNOCENT:
             self._answered_s_by_cause.popitem(last=False)
-        return self._clear(list(causes), now_s)
-
-    def _clear(self, causes: Collection[crash_records.Cause], now_s: float) -> bool:
+        cleared = self._clear(causes, now_s)
+        fingerprint = causes.fingerprint
+        for presence in self._requests.remove(fingerprint):
+            crash = crash_records.Crash(
+                presence.server,
+                presence.crashed_s,
+                fingerprints={fingerprint},
+                innocent={fingerprint},
+            )
+            if self.find(crash) is None:
+                cleared.append(crash)
+        return cleared
+
+    def _clear(
+        self, causes: crash_records.RequestCauses, now_s: float
+    ) -> list[crash_records.Crash]:
         if self._unproven.isdisjoint(causes):
-            return False
-        changed = False
+            return []
+        changed = []
         for crash in self._crashes:
-            for cause in causes:
-                if cause in crash.causes() and cause not in crash.innocent:
-                    crash.innocent.add(cause)
-                    changed = True
+            cleared = crash.causes().intersection(causes) - crash.innocent
+            if cleared:
+                crash.innocent |= cleared
+                changed.append(crash)
         if changed:
             self._update(now_s)
         return changed
@@ -139,10 +156,11 @@
         Returns:
             Whether something was new.
         """
-        changed = False
+        changed = counted = False
         for crash in crashes:
             if now_s - crash.crashed_s > RECORD_AGE_S:
                 continue
+            counted = self._count_requests(crash) or counted
             known = self.find(crash)
             if known is None:
                 known = crash_records.Crash(crash.server, crash.crashed_s)
@@ -150,11 +168,25 @@
             if known.add(crash):
                 changed = True
                 for cause in known.causes():
-                    answered_s = self._answered_s_by_cause.get(cause)
-                    if answered_s is not None and answered_s > crash.crashed_s - INNOCENCE_AGE_S:
+                    if self._was_answered(cause, crash.crashed_s):
                         known.innocent.add(cause)
         if changed:
             self._update(now_s)
+        return changed or counted
+
+    def _was_answered(self, cause: crash_records.Cause, crashed_s: float) -> bool:
+        answered_s = self._answered_s_by_cause.get(cause)
+        return answered_s is not None and answered_s > crashed_s - INNOCENCE_AGE_S
+
+    def _count_requests(self, crash: crash_records.Crash) -> bool:
+        """Count a crash for each request that it names, and return whether something was new."""
+        changed = False
+        presence = request_crashes.Presence(crash.server, crash.crashed_s)
+        for fingerprint in crash.fingerprints:
+            if fingerprint in crash.innocent:
+                changed = bool(self._requests.remove(fingerprint)) or changed
+            elif not self._was_answered(fingerprint, crash.crashed_s):
+                changed = self._requests.add(fingerprint, presence) or changed
         return changed
 
     def confirm(self, now_s: float) -> bool:
@@ -192,7 +224,7 @@
         for known in self._crashes:
             if (
                 known.server == crash.server
-                and abs(known.crashed_s - crash.crashed_s) < SAME_CRASH_S
+                and abs(known.crashed_s - crash.crashed_s) < crash_records.SAME_CRASH_S
             ):
                 return known
         return None
@@ -209,52 +241,67 @@
 
     def _update(self, now_s: float) -> None:
         """Distribute the blame for all crashes anew."""
-        self._crashes = [
-            crash for crash in self._crashes if now_s - crash.crashed_s <= RECORD_AGE_S
-        ]
-        excess = len(self._crashes) - MAX_RECORDS
-        if excess > 0:
-            by_value = sorted(self._crashes, key=lambda crash: (crash.has_parts, crash.crashed_s))
-            dropped = {id(crash) for crash in by_value[:excess]}
-            self._crashes = [crash for crash in self._crashes if id(crash) not in dropped]
+        self._crashes = sorted(
+            (crash for crash in self._crashes if now_s - crash.crashed_s <= RECORD_AGE_S),
+            key=lambda crash: crash.crashed_s,
+        )
+        self._distribute_blame()
+        if self._forget_excess():
+            self._distribute_blame()
+        self._unproven = set()
+        for crash in self._crashes:
+            self._unproven |= crash.causes() - crash.innocent
+        self._trial_s_by_cause = {
+            cause: trial_s
+            for cause, trial_s in self._trial_s_by_cause.items()
+            if self._is_known(cause, now_s)
+        }
+
+    def _forget_excess(self) -> bool:
+        """Forget crashes above the limits, and return whether there were some.
+
+        Of those with parts of prompts, the ones that matter least for what is held go first. Most
+        of these are answers that were lost without a crash, with innocent parts only.
+        """
+        plain = [crash for crash in self._crashes if not crash.has_parts]
+        forgotten = plain[: max(0, len(plain) - MAX_RECORDS)]
+        with_parts = [crash for crash in self._crashes if crash.has_parts]
+        if len(with_parts) > MAX_RECORDS:
+            with_parts.sort(key=lambda crash: (self._highest_blame(crash), crash.crashed_s))
+            forgotten += with_parts[:-MAX_RECORDS]
+        forgotten_ids = {id(crash) for crash in forgotten}
+        self._crashes = [crash for crash in self._crashes if id(crash) not in forgotten_ids]
+        return bool(forgotten)
+
+    def _highest_blame(self, crash: crash_records.Crash) -> float:
+        suspects = (crash.starting | crash.waiting) - crash.innocent
+        return max((self._blame_by_part.get(part, 0.0) for part in suspects), default=0.0)
+
+    def _distribute_blame(self) -> None:
         blame_by_part: dict[crash_records.Cause, float] = collections.defaultdict(float)
-        crashes_by_cause: dict[crash_records.Cause, int] = collections.defaultdict(int)
-        last_crash_s_by_cause: dict[crash_records.Cause, float] = {}
+        crashes_by_part: dict[crash_records.Cause, int] = collections.defaultdict(int)
+        last_crash_s_by_part: dict[crash_records.Cause, float] = {}
+        times_s = [crash.crashed_s for crash in self._crashes]
         for crash in self._crashes:
-            starting = crash.starting - crash.innocent
-            suspects = starting
+            suspects = crash.starting - crash.innocent
             weight = CERTAIN_BLAME
-            if not starting and not self._is_mass_crash(crash):
+            if not suspects and not self._is_mass_crash(crash, times_s):
                 suspects = crash.waiting - crash.innocent
                 weight = WAITING_WEIGHT
             if not crash.confirmed:
                 weight *= UNCONFIRMED_WEIGHT
             for part in suspects:
                 blame_by_part[part] += weight / len(suspects)
-            for cause in {*suspects, *(crash.fingerprints - crash.innocent)}:
-                crashes_by_cause[cause] += 1
-                last_crash_s_by_cause[cause] = max(
-                    crash.crashed_s, last_crash_s_by_cause.get(cause, crash.crashed_s)
-                )
-        self._unproven = set()
-        for crash in self._crashes:
-            self._unproven |= crash.causes() - crash.innocent
+                crashes_by_part[part] += 1
+                last_crash_s_by_part[part] = crash.crashed_s
         self._blame_by_part = dict(blame_by_part)
-        self._crashes_by_cause = dict(crashes_by_cause)
-        self._last_crash_s_by_cause = last_crash_s_by_cause
-        self._trial_s_by_cause = {
-            cause: trial_s
-            for cause, trial_s in self._trial_s_by_cause.items()
-            if cause in crashes_by_cause
-        }
+        self._crashes_by_part = dict(crashes_by_part)
+        self._last_crash_s_by_part = last_crash_s_by_part
 
-    def _is_mass_crash(self, crash: crash_records.Crash) -> bool:
-        near = {
-            other.server
-            for other in self._crashes
-            if abs(other.crashed_s - crash.crashed_s) < MASS_CRASH_S
-        }
-        return len(near) >= MASS_CRASH_SERVERS
+    def _is_mass_crash(self, crash: crash_records.Crash, times_s: list[float]) -> bool:
+        first = bisect.bisect_right(times_s, crash.crashed_s - MASS_CRASH_S)
+        end = bisect.bisect_left(times_s, crash.crashed_s + MASS_CRASH_S)
+        return len({other.server for other in self._crashes[first:end]}) >= MASS_CRASH_SERVERS
 
     def held(self, causes: crash_records.RequestCauses, now_s: float) -> Held | None:
         """Return why a request may not be sent now, or None if it may.
@@ -263,36 +310,44 @@
             causes: What the request holds.
             now_s: Monotonic time in seconds.
         """
-        if not self._crashes_by_cause:
-            return None
-        suspects = self._suspects(causes)
+        suspects = self._suspects(causes, now_s)
         if not suspects:
             return None
         blame = sum(suspects.values())
-        wait_s = max(self._next_trial_s(cause, blame) for cause in suspects) - now_s
+        wait_s = max(self._next_trial_s(cause, blame, now_s) for cause in suspects) - now_s
         if wait_s <= 0.0:
             return None
         worst = max(suspects, key=lambda cause: suspects[cause])
-        return Held(worst, blame, self._crashes_by_cause[worst], wait_s)
+        return Held(worst, blame, self._history(worst, now_s)[0], wait_s)
 
-    def _suspects(self, causes: crash_records.RequestCauses) -> dict[crash_records.Cause, float]:
+    def _suspects(
+        self, causes: crash_records.RequestCauses, now_s: float
+    ) -> dict[crash_records.Cause, float]:
         """Return the blame of the causes of a request that are held."""
         blame_by_cause: dict[crash_records.Cause, float] = {
             part: self._blame_by_part[part]
             for part in causes.parts
             if self._blame_by_part.get(part, 0.0) >= MIN_HELD_BLAME
         }
-        if self._crashes_by_cause.get(causes.fingerprint, 0) >= CRASHES_OF_FINGERPRINT:
+        if len(self._requests.crashes(causes.fingerprint, now_s)) >= CRASHES_OF_FINGERPRINT:
             blame_by_cause[causes.fingerprint] = CERTAIN_BLAME
         return blame_by_cause
 
-    def _next_trial_s(self, cause: crash_records.Cause, blame: float) -> float:
-        last_s = max(
-            self._last_crash_s_by_cause[cause], self._trial_s_by_cause.get(cause, -RECORD_AGE_S)
-        )
+    def _history(self, cause: crash_records.Cause, now_s: float) -> tuple[int, float]:
+        """Return the number of crashes that a cause is blamed for and the time of the last."""
+        if cause in self._crashes_by_part:
+            return self._crashes_by_part[cause], self._last_crash_s_by_part[cause]
+        crashes = self._requests.crashes(cause, now_s)
+        return len(crashes), crashes[-1].crashed_s
+
+    def _is_known(self, cause: crash_records.Cause, now_s: float) -> bool:
+        return cause in self._crashes_by_part or bool(self._requests.crashes(cause, now_s))
+
+    def _next_trial_s(self, cause: crash_records.Cause, blame: float, now_s: float) -> float:
+        crashes, last_crash_s = self._history(cause, now_s)
+        last_s = max(last_crash_s, self._trial_s_by_cause.get(cause, -RECORD_AGE_S))
         if blame < CERTAIN_BLAME:
             return last_s + UNCERTAIN_TRIAL_INTERVAL_S
-        crashes: int = self._crashes_by_cause[cause]
         return last_s + float(CERTAIN_TRIAL_INTERVAL_S * 2 ** (crashes - 1))
 
     def start_trial(
@@ -307,9 +362,7 @@
         Returns:
             The suspects; none for most requests.
         """
-        if not self._crashes_by_cause:
-            return []
-        suspects = list(self._suspects(causes))
+        suspects = list(self._suspects(causes, now_s))
         self.record_trial(suspects, now_s)
         return suspects
 
@@ -321,7 +374,7 @@
             now_s: Monotonic time in seconds.
         """
         for cause in suspects:
-            if cause in self._crashes_by_cause:
+            if self._is_known(cause, now_s):
                 self._trial_s_by_cause[cause] = now_s
 
 
--- a/packages/core/tests/test_crash_suspects.py
+++ b/packages/core/tests/test_crash_suspects.py
@@ -10,7 +10,12 @@
 import pytest
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import crash_records, crash_suspects, silence
+from gentianpaddle_core.serving import (
+    crash_records,
+    crash_suspects,
+    request_crashes,
+    silence,
+)
 
 SERVER = ids.BackendServerId("s1")
 
@@ -147,6 +152,91 @@
     assert suspects.held(causes(request="g"), 13.0) is None
 
 
+def lose_answers(
+    suspects: crash_suspects.CrashSuspects, count: int, parts: str, begin_s: float, end_s: float
+) -> None:
+    """Record lost answers of other requests, each at another server."""
+    for number in range(count):
+        at_s = begin_s + (end_s - begin_s) * number / count
+        request = f"other-{begin_s}-{number}"
+        lost = crash("", parts.replace("*", str(number)), at_s, f"s{number % 40}", request)
+        suspects.merge([lost], at_s)
+
+
+@pytest.mark.parametrize("parts", ["", "shared", "shared-*"], ids=["plain", "one", "many"])
+@pytest.mark.parametrize("answered", [True, False])
+@pytest.mark.parametrize(("per_s", "gap_s"), [(20, 2.0), (20, 60.0), (200, 10.0)])
+def test_repeated_request_is_held_however_many_answers_are_lost(
+    parts: str, answered: bool, per_s: int, gap_s: float
+) -> None:
+    """Guards against a request that crashes servers without end while other answers are lost."""
+    suspects = crash_suspects.CrashSuspects()
+    suspects.merge([crash("held", at_s=0.0, server="engine")], 0.0)
+    now_s = 0.0
+    for number in range(3):
+        assert suspects.held(causes(request="f"), now_s) is None
+        suspects.merge([crash(at_s=now_s, server=f"f{number}", request="f")], now_s)
+        lose_answers(suspects, int(per_s * gap_s), parts, now_s, now_s + gap_s)
+        now_s += gap_s
+        if answered:
+            suspects.record_answer(causes("shared", request="other"), now_s)
+    held = suspects.held(causes(request="f"), now_s - gap_s + 1.0)
+    assert held is not None
+    assert held.crashes == 3
+    assert suspects.held(causes(request="g"), now_s) is None
+
+
+def test_fatal_part_is_held_however_many_answers_are_lost() -> None:
+    """Guards against a part of a prompt that is free again after answers of sound streams are lost.
+
+    Their parts are innocent, as other answers with them have begun.
+    """
+    suspects = crash_suspects.CrashSuspects()
+    for number in range(300):
+        suspects.record_answer(causes(f"sound-{number}", request=f"r{number}"), 9.0)
+    suspects.merge([crash("x", at_s=10.0, server="engine")], 10.0)
+    suspects.confirm(11.0)
+    lose_answers(suspects, 300, "sound-*", 14.1, 20.0)
+    held = suspects.held(causes("x"), 20.0)
+    assert held is not None
+    assert held.blame == crash_suspects.CERTAIN_BLAME
+    assert len(suspects.crashes(20.0)) <= crash_suspects.MAX_RECORDS
+    assert suspects.held(causes("sound-1"), 20.0) is None
+
+
+@pytest.mark.parametrize("displaced", [0, 200])
+def test_request_that_is_answered_is_innocent_at_all_processes(displaced: int) -> None:
+    """Guards against sound requests that are refused because their lost answers were counted."""
+    here, there = crash_suspects.CrashSuspects(), crash_suspects.CrashSuspects()
+    losses = [crash(at_s=10.0 + number, server=f"s{number}", request="f") for number in range(3)]
+    for suspects in (here, there):
+        suspects.merge(losses, 13.0)
+        assert suspects.held(causes(request="f"), 13.0) is not None
+        lose_answers(suspects, displaced, "", 13.0, 14.0)
+    cleared = here.record_answer(causes(request="f"), 14.0)
+    assert here.held(causes(request="f"), 14.0) is None
+    there.merge(cleared, 14.1)
+    assert there.held(causes(request="f"), 14.1) is None
+    assert here.record_answer(causes(request="f"), 14.2) == []
+
+
+def test_what_is_known_of_requests_is_bounded() -> None:
+    """Guards against memory that grows with each lost answer, and with copies of messages."""
+    requests = request_crashes.RequestCrashes(crash_suspects.RECORD_AGE_S)
+    limit = request_crashes.MAX_LOST_ONCE + request_crashes.MAX_LOST_AGAIN
+    for number in range(2 * limit):
+        for at_s in range(number % 2 + 1):
+            presence = request_crashes.Presence(SERVER, 10.0 * at_s)
+            requests.add(crash_records.Cause(f"r{number}"), presence)
+    assert len(requests) <= limit
+    repeated = crash_records.Cause("f")
+    presences = [request_crashes.Presence(SERVER, 10.0 * number) for number in range(20)]
+    assert [requests.add(repeated, presence) for presence in presences] == [True] * 20
+    assert [requests.add(repeated, presence) for presence in presences] == [False] * 20
+    assert len(requests.crashes(repeated, 200.0)) == request_crashes.MAX_CRASHES
+    assert len(requests.crashes(repeated, 190.0 + crash_suspects.RECORD_AGE_S)) == 1
+
+
 @pytest.mark.parametrize(
     ("sent_s", "progress_s", "expected"), [(9.7, 0.0, True), (5.0, 9.8, True), (5.0, 8.4, False)]
 )
--- a/packages/gateway/src/gentianpaddle_gateway/crash_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/crash_watch.py
@@ -77,9 +77,10 @@
             causes: What the request holds.
         """
         now_s = asyncio.get_running_loop().time()
-        if self._suspects.record_answer(causes, now_s):
+        cleared = self._suspects.record_answer(causes, now_s)
+        if cleared:
             self._update_held()
-            self._send_unannounced()
+            self._send(cleared)
 
     def record_loss(
         self,
@@ -108,9 +109,8 @@
             starting = context.answer_stage is attempts.AnswerStage.HEAD
             (crash.starting if starting else crash.waiting).update(context.causes.parts)
         self._merge([crash], now_s, "own")
-        known = self._suspects.find(crash)
-        if known is not None:
-            self._send([known])
+        # The record may have been displaced at once by others.
+        self._send([self._suspects.find(crash) or crash])
 
     def record_closed_group(self) -> None:
         """Record that a group of engines is reported closed."""
@@ -144,7 +144,11 @@
         now_s = asyncio.get_running_loop().time()
         if collecting and self._held_parts and now_s - self._repeated_s >= REPEAT_INTERVAL_S:
             self._repeated_s = now_s
-            crashes = [crash for crash in self._suspects.crashes(now_s) if crash.has_parts]
+            crashes = [
+                crash
+                for crash in self._suspects.crashes(now_s)
+                if not self._held_parts.isdisjoint(crash.starting | crash.waiting)
+            ]
         if crashes:
             self._send(crashes[-MAX_REPEATED_CRASHES:], repeated=True)
 
@@ -152,18 +156,18 @@
         if not self._suspects.merge(crashes, now_s):
             return
         for crash in crashes:
-            if crash.has_parts:
-                log.event(
-                    _logger,
-                    "crash",
-                    logging.WARNING,
-                    server=crash.server,
-                    source=source,
-                    age_s=now_s - crash.crashed_s,
-                    starting=",".join(sorted(crash.starting)),
-                    waiting=",".join(sorted(crash.waiting)),
-                    innocent=len(crash.innocent),
-                )
+            log.event(
+                _logger,
+                "crash",
+                logging.WARNING,
+                server=crash.server,
+                source=source,
+                age_s=now_s - crash.crashed_s,
+                starting=",".join(sorted(crash.starting)),
+                waiting=",".join(sorted(crash.waiting)),
+                requests=",".join(sorted(crash.fingerprints)),
+                innocent=len(crash.innocent),
+            )
         self._update_held()
 
     def _update_held(self) -> None:
--- a/packages/gateway/tests/test_crash_watch.py
+++ b/packages/gateway/tests/test_crash_watch.py
@@ -10,7 +10,7 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import crash_records
-from gentianpaddle_gateway import crash_messages
+from gentianpaddle_gateway import crash_messages, crash_watch
 
 
 async def ask(host: str, parts: str, name: str) -> front_system.Answer:
@@ -88,6 +88,32 @@
     asyncio.run(scenario())
 
 
+def test_collector_repeats_what_it_holds() -> None:
+    """Guards against a restarted front that never learns of a held part after other losses."""
+
+    def crash(server: str, part: str, at_s: float) -> crash_records.Crash:
+        cause = {crash_records.Cause(part)}
+        return crash_records.Crash(ids.BackendServerId(server), at_s, starting=cause)
+
+    async def scenario() -> None:
+        sent: list[bytes] = []
+        watch = crash_watch.CrashWatch(sent.append, lambda: None)
+        now_s = asyncio.get_running_loop().time()
+        fatal = crash("engine", "x", now_s - 30.0)
+        watch.receive(crash_messages.CrashMessage([fatal], []))
+        for number in range(20):
+            lost = crash(f"s{number}", "shared", now_s - 20.0 + number)
+            lost.innocent = set(lost.starting)
+            watch.receive(crash_messages.CrashMessage([lost], []))
+        watch.repeat(collecting=True)
+        repeated = [crash_messages.decode(data, now_s) for data in sent]
+        assert [
+            [item.server for item in message.crashes] for message in repeated if message is not None
+        ] == [["engine"]]
+
+    asyncio.run(scenario())
+
+
 def test_message_is_decoded_as_it_was_encoded() -> None:
     """Guards against fronts that misread each other's crashes."""
     crash = crash_records.Crash(
