Take no answer whose status HTTP does not define

Here 000 and all other statuses below 100 were refused already, but fronts passed on 600 and 999, and agents also 150, with the server's signature.

Cause: both HTTP clients left the range to their parsers, which accept up to 999 (h11) and 100 to 999 (http.client).

Change: a final status outside 200 to 599 is no answer. In a front it is a lost answer, which is repeated where that is allowed and else gets 502; "not run" is not believed. In an agent the call has failed.

--- a/packages/daemon/src/gentianpaddle_daemon/agent/backend.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/backend.py
@@ -19,6 +19,9 @@
 HEALTH_TIMEOUT_S = 1.0
 READ_SIZE_BYTES = 65_536
 MAX_CONNECTIONS = 512
+MIN_STATUS = 200
+MAX_STATUS = 599
+"""Range of the statuses that HTTP defines for final responses."""
 STREAM_END_MARKER = "[DONE]"
 """Data of the event that ends a complete token stream."""
 
@@ -168,7 +171,8 @@
         self, call: Call, response: urllib3.BaseHTTPResponse, listener: CallListener
     ) -> None:
         content_type = response.headers.get("Content-Type", "application/octet-stream")
-        if call.token_stream and response.status != http.HTTPStatus.OK:
+        defined = MIN_STATUS <= response.status <= MAX_STATUS
+        if not defined or (call.token_stream and response.status != http.HTTPStatus.OK):
             listener.on_failure(True, f"http_{response.status}")
             return
         if call.token_stream:
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -26,6 +26,9 @@
 """Number of parts of a response after which other requests get their turn. A server can send very
 small parts without end."""
 
+MAX_STATUS = 599
+"""Highest status that HTTP defines. The parser itself refuses those below 100."""
+
 MAX_INFORMATIONAL_RESPONSES = 8
 """Maximum number of informational (1xx) responses before the final one."""
 
@@ -119,12 +122,15 @@
             Head of the final response; informational (1xx) responses are skipped.
 
         Raises:
-            IncompleteResponseError: The connection ended, the response is malformed, or there are
-                more than `MAX_INFORMATIONAL_RESPONSES` informational responses.
+            IncompleteResponseError: The connection ended, the response is malformed or has a status
+                above `MAX_STATUS`, or there are more than `MAX_INFORMATIONAL_RESPONSES`
+                informational responses.
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise IncompleteResponseError(f"status {event.status_code} is not defined")
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise IncompleteResponseError("no HTTP response received")
