Send answers of services with unregistered statuses

Callers of the own interface got an error of the entry in place of an answer with a status such as 520 or 299. Found while odd statuses were tested, not reported.

Cause: the reason phrase was looked up in http.HTTPStatus, which raises an error for statuses that are not registered.

Change: such a status is sent with the phrase "Unknown".

Before: 2 of 3 cases of test_status_without_a_registered_phrase_is_sent fail with ValueError. After: they pass.

--- a/packages/daemon/src/gentianpaddle_daemon/entry/responses.py
+++ b/packages/daemon/src/gentianpaddle_daemon/entry/responses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import http
+import http.client
 import json
 import math
 import typing
@@ -42,7 +42,7 @@
         Returns:
             The body.
         """
-        phrase = http.HTTPStatus(self.status).phrase
+        phrase = http.client.responses.get(self.status, "Unknown")
         headers = [
             ("Content-Type", self.content_type),
             ("Content-Length", str(len(self.body))),
--- a/packages/daemon/tests/test_backend.py
+++ b/packages/daemon/tests/test_backend.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gentianpaddle_daemon.agent import backend
+from gentianpaddle_daemon.entry import responses
 
 CALL_LIMIT_S = 20.0
 """Time after which a call counts as hanging."""
@@ -87,3 +88,13 @@
     head = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
     with server(head) as url:
         assert call(url, token_stream=False).ends == [end]
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"), [(200, "200 OK"), (299, "299 Unknown"), (520, "520 Unknown")]
+)
+def test_status_without_a_registered_phrase_is_sent(status: int, expected: str) -> None:
+    """Guards against a failure of the entry because a service uses a status of its own."""
+    seen: list[str] = []
+    body = responses.Response(status, b"x").send(lambda line, _: seen.append(line))
+    assert (seen, list(body)) == ([expected], [b"x"])
