Limit the answers of engines to 1 MB

A front or side process that read the report of an engine kept up to 16 MB of an answer without end (17 MB peak for one read), and a front reads from all engines of a group.

Cause: the client of engines used the limit of calls to the store, whose pages are large.

Change: a limit of its own. The largest answers hold a few thousand numbers. An answer above it counts as none, as before.

Before: 2 of 4 cases of test_report_without_end_is_given_up fail. After: they pass.

--- a/packages/gateway/src/gentianpaddle_gateway/engine_checks.py
+++ b/packages/gateway/src/gentianpaddle_gateway/engine_checks.py
@@ -8,7 +8,7 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import engine_liveness
-from gentianpaddle_gateway import http_client, log, silence_watch
+from gentianpaddle_gateway import engine_client, http_client, log, silence_watch
 from gentianpaddle_platform import engines, objects
 
 _logger = logging.getLogger("gentianpaddle.engines")
@@ -122,7 +122,7 @@
 
 async def _answers(address: str) -> bool:
     """Return whether an engine answers a read of its report, if only by closing the connection."""
-    transport = http_client.PersistentTransport(address)
+    transport = http_client.PersistentTransport(address, engine_client.BODY_LIMIT_BYTES)
     answer = await transport.call("GET", engines.REPORT_TARGET, None, CHECK_TIMEOUT_S)
     transport.close()
     return not (isinstance(answer, objects.Unavailable) and answer.timed_out)
--- a/packages/gateway/src/gentianpaddle_gateway/engine_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/engine_client.py
@@ -15,6 +15,10 @@
 """Time-out of a call to the engine. A report or order on the same VM takes about 2 ms. An order
 without an answer is sent again."""
 
+BODY_LIMIT_BYTES = 1_048_576
+"""Maximum size of an answer of an engine, which holds a few thousand numbers at most. A front reads
+from many engines at the same time."""
+
 STATE_TARGET = "/v1/engine"
 COUNTS_TARGET = "/v1/engine/counts"
 LAYOUT_TARGET = "/v1/engine/layout"
@@ -58,7 +62,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._transport = http_client.PersistentTransport(address)
+        self._transport = http_client.PersistentTransport(address, BODY_LIMIT_BYTES)
         self._lock = asyncio.Lock()
         self._last_counts: list[int] = []
         self._last_counts_key: tuple[int, int] | None = None
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -224,10 +224,16 @@
 
 
 class PersistentTransport:
-    """Sends calls to one address over one persistent connection; implements `objects.Transport`."""
+    """Sends calls to one address over one persistent connection; implements `objects.Transport`.
 
-    def __init__(self, address: str) -> None:
+    Args:
+        address: Host and port.
+        body_limit_bytes: Maximum size of the body of an answer.
+    """
+
+    def __init__(self, address: str, body_limit_bytes: int = BODY_LIMIT_BYTES) -> None:
         self.address = address
+        self._body_limit_bytes = body_limit_bytes
         self._connection: ClientConnection | None = None
         self.call_count = 0
         """Number of calls sent since the start."""
@@ -248,7 +254,8 @@
                     fields.append((b"content-length", b"%d" % len(body)))
                 await connection.send(method, target, fields, body)
                 head = await connection.read_head()
-                return objects.Response(head.status, await connection.read_body())
+                body = await connection.read_body(self._body_limit_bytes)
+                return objects.Response(head.status, body)
         except TimeoutError:
             self.close()
             return objects.Unavailable(f"no answer within {timeout_s:.1f} s", timed_out=True)
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -7,8 +7,9 @@
 import typing
 
 import pytest
+from gentianpaddle_platform_standins import http
 
-from gentianpaddle_gateway import http_client
+from gentianpaddle_gateway import engine_client, http_client
 
 BODY_BYTES = 65_536
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -51,3 +52,36 @@
         return body
 
     assert len(asyncio.run(read())) == BODY_BYTES // chunk_bytes * chunk_bytes
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+    ],
+)
+def test_report_without_end_is_given_up(head: bytes) -> None:
+    """Guards against a report of an engine that fills the memory of a small VM."""
+
+    async def answer(_: http.Request, connection: http.Connection) -> None:
+        connection.writer.write(head)
+        while True:
+            connection.writer.write(b"X-A: b\r\n" * 8_192)
+            await connection.writer.drain()
+
+    async def scenario() -> int:
+        server = http.HttpStandin(answer)
+        await server.listen()
+        client = engine_client.EngineClient(server.address)
+        tracemalloc.start()
+        try:
+            assert await client.read_report() == b""
+            return tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+            server.close()
+
+    assert asyncio.run(scenario()) < 4 * 1_048_576
