Bound what an agent reads from its backend server

Operators of similar systems saw a process run out of memory while a server sent bytes without end. An agent of the own interface did the same or hung for good: with interim responses without end, with bodies and token streams, and with health and model reports.

Cause: urllib3 and http.client bound the lines and the number of fields of a head, but neither interim responses nor bodies, and the lines of a token stream were collected without a limit. Small chunks were passed on one by one.

Answers are read in pieces of 64 KB.

--- a/packages/daemon/src/gentianpaddle_daemon/agent/backend.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/backend.py
@@ -15,9 +15,14 @@
 import urllib3
 import urllib3.exceptions
 
+from gentianpaddle_daemon.agent import bounded_http
+
 CONNECT_TIMEOUT_S = 1.0
 HEALTH_TIMEOUT_S = 1.0
-READ_SIZE_BYTES = 65_536
+ANSWER_LIMIT_BYTES = 16 * 1_048_576
+"""Maximum size of an answer. The longest token stream that callers may ask for stays below it."""
+LINE_LIMIT_BYTES = 262_144
+"""Maximum size of a line of a token stream."""
 MAX_CONNECTIONS = 512
 MIN_STATUS = 200
 MAX_STATUS = 599
@@ -109,8 +114,8 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        # The agent decides whether a call is repeated, so urllib3 must not retry by itself.
-        self._pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
+        # The agent decides whether a call is repeated.
+        self._pool = bounded_http.new_pool(MAX_CONNECTIONS)
 
     def run(self, call: Call, listener: CallListener, handle: CallHandle) -> None:
         """Perform a call and report its progress.
@@ -144,9 +149,12 @@
         """
         try:
             response = self._pool.request(
-                "GET", f"{self._url}/health", timeout=urllib3.Timeout(HEALTH_TIMEOUT_S)
+                "GET",
+                f"{self._url}/health",
+                timeout=urllib3.Timeout(HEALTH_TIMEOUT_S),
+                preload_content=False,
             )
-            report = json.loads(response.data)
+            report = json.loads(bounded_http.read_report(response))
             return Health(
                 incarnation=int(report["incarnation"]),
                 step_s=float(report["step_ms"]) / 1_000,
@@ -179,7 +187,10 @@
             complete = _read_token_events(response, listener)
         else:
             complete = True
-            for data in response.stream(READ_SIZE_BYTES):
+            size = 0
+            while data := response.read(bounded_http.READ_SIZE_BYTES):
+                size += len(data)
+                _check_size(size, ANSWER_LIMIT_BYTES)
                 listener.on_data(data, 0)
         if complete:
             listener.on_end(response.status, content_type)
@@ -188,12 +199,17 @@
 
 
 def _read_token_events(response: urllib3.BaseHTTPResponse, listener: CallListener) -> bool:
-    partial_line = b""
-    while True:
-        data = response.read1(READ_SIZE_BYTES)
-        if not data:
-            return False
-        *lines, partial_line = (partial_line + data).split(b"\n")
+    size = 0
+    partial_line = bytearray()
+    while data := response.read1(bounded_http.READ_SIZE_BYTES):
+        size += len(data)
+        _check_size(size, ANSWER_LIMIT_BYTES)
+        if b"\n" not in data:
+            partial_line += data
+            _check_size(len(partial_line), LINE_LIMIT_BYTES)
+            continue
+        *lines, rest = (bytes(partial_line) + data).split(b"\n")
+        partial_line = bytearray(rest)
         texts: list[str] = []
         end_seen = False
         for line in lines:
@@ -206,6 +222,12 @@
             listener.on_data("".join(texts).encode(), len(texts))
         if end_seen:
             return True
+    return False
+
+
+def _check_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise bounded_http.ResponseTooLargeError(f"over {limit} bytes")
 
 
 def _event_text(payload: str) -> str:
--- a/packages/daemon/src/gentianpaddle_daemon/agent/order_handler.py
+++ b/packages/daemon/src/gentianpaddle_daemon/agent/order_handler.py
@@ -21,6 +21,7 @@
 
 from gentianpaddle_core import blackboard, capacity, ids, orders
 from gentianpaddle_daemon import logs
+from gentianpaddle_daemon.agent import bounded_http
 from gentianpaddle_daemon.wire import messages_pb2 as pb
 
 READ_TIMEOUT_S = 1.0
@@ -63,18 +64,22 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        # An order is repeated only after reading back, so urllib3 must not retry by itself.
-        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+        # An order is repeated only after reading back.
+        self._pool = bounded_http.new_pool(1)
 
     def read(self) -> orders.Running | None:
         """Return what the backend server runs; see `OrderBackend`."""
         try:
             response = self._pool.request(
-                "GET", f"{self._url}/model", timeout=urllib3.Timeout(READ_TIMEOUT_S)
+                "GET",
+                f"{self._url}/model",
+                timeout=urllib3.Timeout(READ_TIMEOUT_S),
+                preload_content=False,
             )
+            body = bounded_http.read_report(response)
             if response.status != http.HTTPStatus.OK:
                 return None
-            payload = json.loads(response.data)
+            payload = json.loads(body)
             return orders.Running(
                 ids.ModelName(str(payload["model"])), str(payload["version"]), str(payload["role"])
             )
@@ -91,7 +96,9 @@
                 body=json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(connect=READ_TIMEOUT_S, read=ORDER_TIMEOUT_S),
+                preload_content=False,
             )
+            bounded_http.read_report(response)
         except urllib3.exceptions.HTTPError:
             return False
         return bool(response.status == http.HTTPStatus.OK)
--- a/packages/daemon/tests/test_backend.py
+++ b/packages/daemon/tests/test_backend.py
@@ -5,16 +5,20 @@
 import contextlib
 import socket
 import threading
+import tracemalloc
 from collections.abc import Iterator
 
 import pytest
 
-from gentianpaddle_daemon.agent import backend
+from gentianpaddle_daemon.agent import backend, order_handler
 from gentianpaddle_daemon.entry import responses
 
 CALL_LIMIT_S = 20.0
 """Time after which a call counts as hanging."""
 
+MEMORY_LIMIT_BYTES = 8 * 1_048_576
+"""Memory that a call may use beside the data that it has passed on."""
+
 
 class Listener:
     """Records the end of a call, and the size of its data."""
@@ -34,14 +38,17 @@
 
 
 @contextlib.contextmanager
-def server(data: bytes) -> Iterator[str]:
-    """Run a server that answers each request with some bytes."""
+def server(first: bytes, repeated: bytes = b"") -> Iterator[str]:
+    """Run a server that answers each request with some bytes, and then with others without end."""
     listening = socket.create_server(("127.0.0.1", 0))
+    block = repeated * (65_536 // max(1, len(repeated)))
 
     def answer(connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
             connection.recv(65_536)
-            connection.sendall(data)
+            connection.sendall(first)
+            while block:
+                connection.sendall(block)
 
     def accept() -> None:
         with contextlib.suppress(OSError):
@@ -98,3 +105,54 @@
     seen: list[str] = []
     body = responses.Response(status, b"x").send(lambda line, _: seen.append(line))
     assert (seen, list(body)) == ([expected], [b"x"])
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated", "token_stream"),
+    [
+        (b"", b"x", False),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n", False),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n", False),
+        (HEAD + b"X-A: ", b"x", False),
+        (HEAD + b"\r\n", b"x", False),
+        (CHUNKED, b"1\r\nx\r\n", False),
+        (CHUNKED + b"1;", b"x", False),
+        (HEAD + b"\r\n", b"x", True),
+        (HEAD + b"\r\n", b"\n", True),
+        (CHUNKED, b"1\r\nx\r\n", True),
+        (HEAD + b"\r\n", b'data: {"choices": []}\n\n', True),
+    ],
+)
+def test_answer_without_end_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, first: bytes, repeated: bytes, token_stream: bool
+) -> None:
+    """Guards against an agent that hangs or runs out of memory with endless bytes."""
+    monkeypatch.setattr(backend, "ANSWER_LIMIT_BYTES", 1_048_576, raising=False)
+    with server(first, repeated) as url:
+        tracemalloc.start()
+        try:
+            listener = call(url, token_stream)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+    assert listener.ends == ["failure True"]
+    assert listener.size <= 1_048_576
+    assert peak_bytes < MEMORY_LIMIT_BYTES
+
+
+@pytest.mark.parametrize("status", ["200 OK", "600 X"])
+def test_report_without_end_is_given_up(status: str) -> None:
+    """Guards against an agent that runs out of memory with a health report or a model report."""
+    with server(f"HTTP/1.1 {status}\r\n\r\n".encode(), b"x") as url:
+        tracemalloc.start()
+        try:
+            assert backend.new_http_backend(url).health() is None
+            assert order_handler.HttpOrderBackend(url).read() is None
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+    assert peak_bytes < MEMORY_LIMIT_BYTES
