Tell restarted fronts of held requests

A front that had restarted sent a request that crashes servers to further ones, although all other fronts held it (BUDGET allows three retries in all).

Cause: collectors repeat what they hold each 2 s, but only crashes with parts of prompts.

Change: they also repeat the last three crashes of the eight held requests that were lost last. A crash without parts that has been forgotten is counted for its request and not recorded again, so that repeated messages do not displace newer records. Crashes that are repeated once are no longer replaced by these.

Before: test_collector_repeats_what_it_holds fails, the restarted front does not hold the request. After: it passes.

--- a/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
+++ b/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
@@ -16,6 +16,7 @@
 import bisect
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from gentianpaddle_core import ids
@@ -67,6 +68,12 @@
 MAX_RECORDS = 64
 """Maximum number of crashes that are remembered with parts of prompts, and of those without."""
 
+MAX_TOLD_CRASHES = 8
+"""Maximum number of crashes with held parts of which processes that have restarted are told."""
+
+MAX_TOLD_REQUESTS = 8
+"""Maximum number of held requests of which processes that have restarted are told."""
+
 MAX_INNOCENT = 8_192
 """Maximum number of causes whose last answer is remembered."""
 
@@ -90,6 +97,8 @@
     def __init__(self) -> None:
         self._crashes: list[crash_records.Crash] = []
         self._requests = request_crashes.RequestCrashes(RECORD_AGE_S)
+        self._forgotten_until_s = -math.inf
+        """Time of the last crash without parts of prompts that has been forgotten."""
         self._answered_s_by_cause: collections.OrderedDict[crash_records.Cause, float] = (
             collections.OrderedDict()
         )
@@ -163,6 +172,8 @@
             counted = self._count_requests(crash) or counted
             known = self.find(crash)
             if known is None:
+                if not crash.has_parts and crash.crashed_s <= self._forgotten_until_s:
+                    continue
                 known = crash_records.Crash(crash.server, crash.crashed_s)
                 self._crashes.append(known)
             if known.add(crash):
@@ -215,6 +226,30 @@
             part: blame for part, blame in self._blame_by_part.items() if blame >= MIN_HELD_BLAME
         }
 
+    def held_crashes(self, now_s: float) -> list[crash_records.Crash]:
+        """Return the crashes because of which requests are held, for processes that restart.
+
+        Args:
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            The last crashes of held parts of prompts, oldest first, and those of the requests that
+            were lost last.
+        """
+        parts = self.held_parts().keys()
+        crashes = [
+            crash
+            for crash in self.crashes(now_s)
+            if not parts.isdisjoint(crash.starting | crash.waiting)
+        ][-MAX_TOLD_CRASHES:]
+        fingerprints = self._requests.lost_last(CRASHES_OF_FINGERPRINT, MAX_TOLD_REQUESTS, now_s)
+        for fingerprint in fingerprints:
+            crashes += (
+                crash_records.Crash(item.server, item.crashed_s, fingerprints={fingerprint})
+                for item in self._requests.crashes(fingerprint, now_s)[-CRASHES_OF_FINGERPRINT:]
+            )
+        return crashes
+
     def find(self, crash: crash_records.Crash) -> crash_records.Crash | None:
         """Return the record of a crash that this process has, or None.
 
@@ -265,6 +300,8 @@
         """
         plain = [crash for crash in self._crashes if not crash.has_parts]
         forgotten = plain[: max(0, len(plain) - MAX_RECORDS)]
+        if forgotten:
+            self._forgotten_until_s = forgotten[-1].crashed_s
         with_parts = [crash for crash in self._crashes if crash.has_parts]
         if len(with_parts) > MAX_RECORDS:
             with_parts.sort(key=lambda crash: (self._highest_blame(crash), crash.crashed_s))
--- a/packages/core/src/gentianpaddle_core/serving/request_crashes.py
+++ b/packages/core/src/gentianpaddle_core/serving/request_crashes.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Sequence
 
 from gentianpaddle_core import ids
@@ -116,3 +117,18 @@
         if known and now_s - known[0].crashed_s > self._max_age_s:
             return tuple(item for item in known if now_s - item.crashed_s <= self._max_age_s)
         return known
+
+    def lost_last(self, min_crashes: int, limit: int, now_s: float) -> list[crash_records.Cause]:
+        """Return the fingerprints of requests with several crashes, the last seen first.
+
+        Args:
+            min_crashes: Number of crashes from which on a request is returned, at least two.
+            limit: Maximum number of requests.
+            now_s: Monotonic time in seconds.
+        """
+        found = (
+            fingerprint
+            for fingerprint in reversed(self._lost_again)
+            if len(self.crashes(fingerprint, now_s)) >= min_crashes
+        )
+        return list(itertools.islice(found, limit))
--- a/packages/gateway/src/gentianpaddle_gateway/crash_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/crash_watch.py
@@ -20,7 +20,7 @@
 longer random delay see the reply of another one first."""
 
 MAX_REPEATED_CRASHES = 8
-"""Maximum number of crashes in a repeated message; the newest ones are sent."""
+"""Maximum number of crashes in a repeated message, and of those that are repeated once."""
 
 REPEAT_INTERVAL_S = 2.0
 """Interval at which collectors repeat the crashes that make them hold requests."""
@@ -140,17 +140,13 @@
             collecting: Whether this front is a collector; collectors repeat what makes them hold
                 requests until it expires.
         """
-        crashes, self._unrepeated = self._unrepeated, []
+        crashes, self._unrepeated = self._unrepeated[-MAX_REPEATED_CRASHES:], []
         now_s = asyncio.get_running_loop().time()
-        if collecting and self._held_parts and now_s - self._repeated_s >= REPEAT_INTERVAL_S:
+        if collecting and now_s - self._repeated_s >= REPEAT_INTERVAL_S:
             self._repeated_s = now_s
-            crashes = [
-                crash
-                for crash in self._suspects.crashes(now_s)
-                if not self._held_parts.isdisjoint(crash.starting | crash.waiting)
-            ]
-        if crashes:
-            self._send(crashes[-MAX_REPEATED_CRASHES:], repeated=True)
+            crashes += self._suspects.held_crashes(now_s)
+        for start in range(0, len(crashes), MAX_REPEATED_CRASHES):
+            self._send(crashes[start : start + MAX_REPEATED_CRASHES], repeated=True)
 
     def _merge(self, crashes: Sequence[crash_records.Crash], now_s: float, source: str) -> None:
         if not self._suspects.merge(crashes, now_s):
--- a/packages/gateway/tests/test_crash_watch.py
+++ b/packages/gateway/tests/test_crash_watch.py
@@ -89,27 +89,39 @@
 
 
 def test_collector_repeats_what_it_holds() -> None:
-    """Guards against a restarted front that never learns of a held part after other losses."""
+    """Guards against a restarted front that lets a held part or request reach servers again."""
 
-    def crash(server: str, part: str, at_s: float) -> crash_records.Crash:
-        cause = {crash_records.Cause(part)}
-        return crash_records.Crash(ids.BackendServerId(server), at_s, starting=cause)
+    def crash(server: str, at_s: float, **causes: str) -> crash_records.Crash:
+        sets = {name: {crash_records.Cause(cause)} for name, cause in causes.items()}
+        return crash_records.Crash(ids.BackendServerId(server), at_s, **sets)
 
     async def scenario() -> None:
         sent: list[bytes] = []
         watch = crash_watch.CrashWatch(sent.append, lambda: None)
         now_s = asyncio.get_running_loop().time()
-        fatal = crash("engine", "x", now_s - 30.0)
-        watch.receive(crash_messages.CrashMessage([fatal], []))
-        for number in range(20):
-            lost = crash(f"s{number}", "shared", now_s - 20.0 + number)
-            lost.innocent = set(lost.starting)
-            watch.receive(crash_messages.CrashMessage([lost], []))
+        fatal = [crash("engine", now_s - 1.0, starting="x")]
+        fatal += [crash(f"f{number}", now_s - 25.0, fingerprints="f") for number in range(3)]
+        watch.receive(crash_messages.CrashMessage(fatal, []))
+        for number in range(200):
+            lost = [
+                crash(f"s{number}", now_s - 20.0, starting="shared", innocent="shared"),
+                crash(f"t{number}", now_s - 20.0, fingerprints=f"other-{number}"),
+            ]
+            watch.receive(crash_messages.CrashMessage(lost, []))
         watch.repeat(collecting=True)
-        repeated = [crash_messages.decode(data, now_s) for data in sent]
-        assert [
-            [item.server for item in message.crashes] for message in repeated if message is not None
-        ] == [["engine"]]
+        restarted = crash_watch.CrashWatch(lambda _: None, lambda: None)
+        for data in sent:
+            message = crash_messages.decode(data, now_s)
+            assert message is not None
+            restarted.receive(message)
+        for parts, request in ((("x",), "g"), ((), "f")):
+            causes = crash_records.RequestCauses(
+                tuple(crash_records.Cause(part) for part in parts), crash_records.Cause(request)
+            )
+            assert watch.held(causes) is not None
+            assert restarted.held(causes) is not None
+        assert len(sent) == 1
+        assert len(message.crashes) == len(fatal)
 
     asyncio.run(scenario())
 
