Move the distribution of blame into a module of its own

The blame for crashes is now computed by crash_blame, a function without state, with one value a part in place of three dictionaries.

--- a/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
+++ b/packages/core/src/gentianpaddle_core/serving/crash_suspects.py
@@ -13,14 +13,13 @@
 
 from __future__ import annotations
 
-import bisect
 import collections
 import dataclasses
 import math
 from collections.abc import Iterable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import crash_records, request_crashes, silence
+from gentianpaddle_core.serving import crash_blame, crash_records, request_crashes, silence
 
 RECORD_AGE_S = 3_600.0
 """Time for which a crash is remembered; much longer than the intervals between trials."""
@@ -32,27 +31,12 @@
 """Time after which a lost request proves no crash of its own server if nothing else has made
 progress. When a rank crashes, all ranks of its group stall for about 1.5 s and then break off."""
 
-MASS_CRASH_S = 0.3
-MASS_CRASH_SERVERS = 3
-"""Number of servers that crash within `MASS_CRASH_S` from which a common cause, such as a loss of
-power, is assumed, unless an answer was about to begin."""
-
-UNCONFIRMED_WEIGHT = 0.25
-"""Blame for a crash as long as only lost connections speak for it, relative to a confirmed one.
-Servers also lose or spoil single answers without a crash."""
-
 CONFIRMATION_S = 4.0
 """Maximum time between a crash of a rank and the reports that its group is closed."""
 
-WAITING_WEIGHT = 0.5
-"""Blame for a crash at which no answer was about to begin, shared among all parts that waited."""
-
 MIN_HELD_BLAME = 0.25
 """Blame from which a part is held."""
 
-CERTAIN_BLAME = 1.0
-"""Blame of a part that alone can have caused a crash."""
-
 CRASHES_OF_FINGERPRINT = 3
 """Number of crashes after which a repeated request is held. Answers are also lost without a crash,
 so fewer prove nothing."""
@@ -62,7 +46,7 @@
 Longer than the stall of a group after a crash, so that the crash is confirmed before."""
 
 CERTAIN_TRIAL_INTERVAL_S = 30.0
-"""Time until the first trial of a part with `CERTAIN_BLAME`; it doubles with each further crash. A
+"""Time until the first trial of a part with certain blame; it doubles with each further crash. A
 trial that crashes a rank costs its group about 4 s."""
 
 MAX_RECORDS = 64
@@ -104,9 +88,7 @@
         )
         self._unproven: set[crash_records.Cause] = set()
         """Causes of all crashes that were not part of an answer that began."""
-        self._blame_by_part: dict[crash_records.Cause, float] = {}
-        self._crashes_by_part: dict[crash_records.Cause, int] = {}
-        self._last_crash_s_by_part: dict[crash_records.Cause, float] = {}
+        self._blame_by_part: dict[crash_records.Cause, crash_blame.PartBlame] = {}
         self._trial_s_by_cause: dict[crash_records.Cause, float] = {}
 
     def record_answer(
@@ -223,7 +205,9 @@
     def held_parts(self) -> dict[crash_records.Cause, float]:
         """Return the blame of each part that is held."""
         return {
-            part: blame for part, blame in self._blame_by_part.items() if blame >= MIN_HELD_BLAME
+            part: found.blame
+            for part, found in self._blame_by_part.items()
+            if found.blame >= MIN_HELD_BLAME
         }
 
     def held_crashes(self, now_s: float) -> list[crash_records.Crash]:
@@ -280,9 +264,9 @@
             (crash for crash in self._crashes if now_s - crash.crashed_s <= RECORD_AGE_S),
             key=lambda crash: crash.crashed_s,
         )
-        self._distribute_blame()
+        self._blame_by_part = crash_blame.distribute(self._crashes)
         if self._forget_excess():
-            self._distribute_blame()
+            self._blame_by_part = crash_blame.distribute(self._crashes)
         self._unproven = set()
         for crash in self._crashes:
             self._unproven |= crash.causes() - crash.innocent
@@ -312,33 +296,8 @@
 
     def _highest_blame(self, crash: crash_records.Crash) -> float:
         suspects = (crash.starting | crash.waiting) - crash.innocent
-        return max((self._blame_by_part.get(part, 0.0) for part in suspects), default=0.0)
-
-    def _distribute_blame(self) -> None:
-        blame_by_part: dict[crash_records.Cause, float] = collections.defaultdict(float)
-        crashes_by_part: dict[crash_records.Cause, int] = collections.defaultdict(int)
-        last_crash_s_by_part: dict[crash_records.Cause, float] = {}
-        times_s = [crash.crashed_s for crash in self._crashes]
-        for crash in self._crashes:
-            suspects = crash.starting - crash.innocent
-            weight = CERTAIN_BLAME
-            if not suspects and not self._is_mass_crash(crash, times_s):
-                suspects = crash.waiting - crash.innocent
-                weight = WAITING_WEIGHT
-            if not crash.confirmed:
-                weight *= UNCONFIRMED_WEIGHT
-            for part in suspects:
-                blame_by_part[part] += weight / len(suspects)
-                crashes_by_part[part] += 1
-                last_crash_s_by_part[part] = crash.crashed_s
-        self._blame_by_part = dict(blame_by_part)
-        self._crashes_by_part = dict(crashes_by_part)
-        self._last_crash_s_by_part = last_crash_s_by_part
-
-    def _is_mass_crash(self, crash: crash_records.Crash, times_s: list[float]) -> bool:
-        first = bisect.bisect_right(times_s, crash.crashed_s - MASS_CRASH_S)
-        end = bisect.bisect_left(times_s, crash.crashed_s + MASS_CRASH_S)
-        return len({other.server for other in self._crashes[first:end]}) >= MASS_CRASH_SERVERS
+        found = [self._blame_by_part[part] for part in suspects if part in self._blame_by_part]
+        return max((item.blame for item in found), default=0.0)
 
     def held(self, causes: crash_records.RequestCauses, now_s: float) -> Held | None:
         """Return why a request may not be sent now, or None if it may.
@@ -361,29 +320,30 @@
         self, causes: crash_records.RequestCauses, now_s: float
     ) -> dict[crash_records.Cause, float]:
         """Return the blame of the causes of a request that are held."""
-        blame_by_cause: dict[crash_records.Cause, float] = {
-            part: self._blame_by_part[part]
-            for part in causes.parts
-            if self._blame_by_part.get(part, 0.0) >= MIN_HELD_BLAME
-        }
+        blame_by_cause: dict[crash_records.Cause, float] = {}
+        for part in causes.parts:
+            found = self._blame_by_part.get(part)
+            if found is not None and found.blame >= MIN_HELD_BLAME:
+                blame_by_cause[part] = found.blame
         if len(self._requests.crashes(causes.fingerprint, now_s)) >= CRASHES_OF_FINGERPRINT:
-            blame_by_cause[causes.fingerprint] = CERTAIN_BLAME
+            blame_by_cause[causes.fingerprint] = crash_blame.CERTAIN_BLAME
         return blame_by_cause
 
     def _history(self, cause: crash_records.Cause, now_s: float) -> tuple[int, float]:
         """Return the number of crashes that a cause is blamed for and the time of the last."""
-        if cause in self._crashes_by_part:
-            return self._crashes_by_part[cause], self._last_crash_s_by_part[cause]
+        found = self._blame_by_part.get(cause)
+        if found is not None:
+            return found.crashes, found.last_crash_s
         crashes = self._requests.crashes(cause, now_s)
         return len(crashes), crashes[-1].crashed_s
 
     def _is_known(self, cause: crash_records.Cause, now_s: float) -> bool:
-        return cause in self._crashes_by_part or bool(self._requests.crashes(cause, now_s))
+        return cause in self._blame_by_part or bool(self._requests.crashes(cause, now_s))
 
     def _next_trial_s(self, cause: crash_records.Cause, blame: float, now_s: float) -> float:
         crashes, last_crash_s = self._history(cause, now_s)
         last_s = max(last_crash_s, self._trial_s_by_cause.get(cause, -RECORD_AGE_S))
-        if blame < CERTAIN_BLAME:
+        if blame < crash_blame.CERTAIN_BLAME:
             return last_s + UNCERTAIN_TRIAL_INTERVAL_S
         return last_s + float(CERTAIN_TRIAL_INTERVAL_S * 2 ** (crashes - 1))
 
--- a/packages/core/tests/test_crash_suspects.py
+++ b/packages/core/tests/test_crash_suspects.py
@@ -11,6 +11,7 @@
 
 from gentianpaddle_core import ids
 from gentianpaddle_core.serving import (
+    crash_blame,
     crash_records,
     crash_suspects,
     request_crashes,
@@ -199,7 +200,7 @@
     lose_answers(suspects, 300, "sound-*", 14.1, 20.0)
     held = suspects.held(causes("x"), 20.0)
     assert held is not None
-    assert held.blame == crash_suspects.CERTAIN_BLAME
+    assert held.blame == crash_blame.CERTAIN_BLAME
     assert len(suspects.crashes(20.0)) <= crash_suspects.MAX_RECORDS
     assert suspects.held(causes("sound-1"), 20.0) is None
 
