Follow a store that has returned from an older copy

After such a return fronts ignored the store for as long as its new revisions were below the known ones: a configuration stored afterwards was not applied (CONFIG), servers that drained were used (DRAIN). With revisions already past the known ones, a server that had left while the store was away got 12 of 36 requests 3 s after the return.

Cause: revisions were compared across the return, where they order nothing.

Change: the version of what is known is the pair of era and revision (store_versions). Any answer of a new era, of any call and status, makes the front list all kinds, spread by the number of fronts. What the copy lacks is kept for a time; servers that had left are not used because the copy shows them. VMs check their registrations. Without the header nothing changes.

--- a/packages/core/src/gentianpaddle_core/serving/members.py
+++ b/packages/core/src/gentianpaddle_core/serving/members.py
@@ -59,12 +59,21 @@
         self.own = own
         self._member_by_vm: dict[ids.VmId, Member] = {own.vm: own}
         self._list_received = False
+        self._keep_missing_until_s = 0.0
         self._last_heartbeat_s_by_vm: dict[ids.VmId, float] = {}
         self._serving_by_vm: dict[ids.VmId, bool] = {}
         self._rank_by_key: dict[str, int] = {}
         self._ranked_fronts: frozenset[ids.VmId] = frozenset()
         """Fronts for which the cached ranks are valid."""
 
+    def keep_missing(self, until_s: float) -> None:
+        """Keep VMs that are missing in lists, as they may not have registered again yet.
+
+        Args:
+            until_s: Monotonic time in seconds until which they are kept.
+        """
+        self._keep_missing_until_s = until_s
+
     def replace(self, members: Iterable[Member], now_s: float) -> None:
         """Set the known VMs to a complete list and all VMs that have sent a heartbeat recently.
 
@@ -77,7 +86,8 @@
             # A registration from a heartbeat is newer than one from a stale read of the store.
             vm: member
             for vm, member in self._member_by_vm.items()
-            if now_s - self._last_heartbeat_s_by_vm.get(vm, -FORGET_AFTER_S) < FORGET_AFTER_S
+            if now_s < self._keep_missing_until_s
+            or now_s - self._last_heartbeat_s_by_vm.get(vm, -FORGET_AFTER_S) < FORGET_AFTER_S
         }
         for vm in self._last_heartbeat_s_by_vm.keys() - self._member_by_vm.keys():
             del self._last_heartbeat_s_by_vm[vm]
--- a/packages/core/src/gentianpaddle_core/serving/servers.py
+++ b/packages/core/src/gentianpaddle_core/serving/servers.py
@@ -3,11 +3,16 @@
 The directory removes the entry of a server that does not renew it, even if the directory itself was
 unavailable. Entries that are removed after an outage are kept until live servers have had time to
 register again.
+
+The directory may also return from an older copy of itself. Entries that the copy lacks are kept for
+the same time. A server that had left gets no requests because the copy shows it as it was before.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from gentianpaddle_core import ids
@@ -22,6 +27,17 @@
 directory becomes available again, its removal cannot be told from an entry lost in the outage."""
 
 
+DEPARTED_S = 60.0
+"""Time for which servers that have left are remembered; copies of the directory are seconds old."""
+
+MAX_DEPARTED = 4_096
+"""Maximum number of servers that have left and are remembered."""
+
+WITHHELD_S = 15.0
+"""Time for which a server that had left is not used although a copy lists it. After that its entry
+would have expired if the server did not renew it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEntry:
     """Directory entry of a backend server."""
@@ -46,8 +62,13 @@
     entry: ServerEntry
     unlisted: bool = False
     """Whether the entry was removed after an outage of the directory and is kept for now."""
+    kept_until_s: float = math.inf
+    """Time until which it is kept at most, also while the directory is not available: another
+    process has told this one that a copy lacks the entry."""
     replaced: bool = False
     """Whether another server now uses the address."""
+    withheld_until_s: float = -math.inf
+    """Time until which the server is not used, as it had left before a copy listed it again."""
 
 
 class ServerView:
@@ -58,6 +79,10 @@
         self._directory_available = False
         self._grace_s = REGISTRATION_GRACE_S
         self._grace_until_s = 0.0
+        self._departed_by_id: collections.OrderedDict[
+            ids.BackendServerId, tuple[ServerEntry, float]
+        ] = collections.OrderedDict()
+        """Last entry of each server that has left, and the monotonic time of that."""
         self.evacuated: frozenset[ids.DataCentreId] = frozenset()
         """Evacuated data centres, whose servers get no requests."""
 
@@ -86,29 +111,58 @@
             self._directory_available = True
             self._grace_until_s = now_s + self._grace_s
 
-    def replace(self, entries: Iterable[ServerEntry], now_s: float) -> None:
+    def replace(self, entries: Iterable[ServerEntry], now_s: float, returned: bool = False) -> None:
         """Replace the known entries by a complete list.
 
         Args:
             entries: All entries of the directory.
             now_s: Monotonic time in seconds.
+            returned: Whether the directory has returned from a copy since the last list or change.
         """
+        if returned:
+            self._grace_until_s = now_s + self._grace_s
         entry_by_id = {entry.id: entry for entry in entries}
         for missing in self._known_by_id.keys() - entry_by_id.keys():
             self.remove(missing, now_s)
+            if returned and missing in self._known_by_id:
+                self._known_by_id[missing].kept_until_s = self._grace_until_s
         for entry in entry_by_id.values():
-            self.put(entry, now_s)
+            known = self._known_by_id.get(entry.id)
+            if returned and self._had_left(entry, now_s):
+                self._known_by_id[entry.id] = _KnownServer(
+                    entry, withheld_until_s=now_s + WITHHELD_S
+                )
+            elif known is not None and known.entry == entry:
+                known.unlisted, known.kept_until_s = False, math.inf
+            else:
+                self.put(entry, now_s)
+
+    def _had_left(self, entry: ServerEntry, now_s: float) -> bool:
+        """Return whether an entry shows a server as it was before it left."""
+        if entry.draining:
+            return False
+        departed, departed_s = self._departed_by_id.get(entry.id, (None, -math.inf))
+        known = self._known_by_id.get(entry.id)
+        if known is not None and known.entry.draining:
+            departed, departed_s = known.entry, now_s
+        return (
+            departed is not None
+            and now_s - departed_s < DEPARTED_S
+            and (departed.address, departed.started_ms) == (entry.address, entry.started_ms)
+        )
 
     def put(self, entry: ServerEntry, now_s: float) -> None:
-        """Add or update an entry.
+        """Add or update an entry that was written now.
 
         Args:
             entry: The entry.
             now_s: Monotonic time in seconds.
         """
+        self._departed_by_id.pop(entry.id, None)
         known = self._known_by_id.get(entry.id)
         if known is not None and known.entry == entry:
-            known.unlisted = False
+            known.unlisted, known.kept_until_s = False, math.inf
+            known.withheld_until_s = -math.inf
             return
         self._known_by_id[entry.id] = _KnownServer(entry)
 
@@ -125,7 +179,14 @@
         if now_s < self._grace_until_s and not known.entry.draining:
             known.unlisted = True
         else:
-            del self._known_by_id[server]
+            self._forget(server, now_s)
+
+    def _forget(self, server: ids.BackendServerId, now_s: float) -> None:
+        known = self._known_by_id.pop(server)
+        self._departed_by_id[server] = known.entry, now_s
+        self._departed_by_id.move_to_end(server)
+        if len(self._departed_by_id) > MAX_DEPARTED:
+            self._departed_by_id.popitem(last=False)
 
     def mark_replaced(self, server: ids.BackendServerId) -> None:
         """Record that another server now answers at the address of this one.
@@ -151,16 +212,17 @@
             Servers that are listed or within the grace time, and that are not draining, not
             replaced and not in an evacuated data centre.
         """
-        if self._directory_available and now_s >= self._grace_until_s:
-            for server, known in list(self._known_by_id.items()):
-                if known.unlisted:
-                    del self._known_by_id[server]
+        grace_over = self._directory_available and now_s >= self._grace_until_s
+        for server, known in list(self._known_by_id.items()):
+            if known.unlisted and (grace_over or now_s >= known.kept_until_s):
+                self._forget(server, now_s)
         return [
             known.entry
             for known in self._known_by_id.values()
             if known.entry.service == service
             and not known.entry.draining
             and not known.replaced
+            and now_s >= known.withheld_until_s
             and known.entry.data_centre not in self.evacuated
         ]
 
--- a/packages/gateway/src/gentianpaddle_gateway/front.py
+++ b/packages/gateway/src/gentianpaddle_gateway/front.py
@@ -95,7 +95,7 @@
         self._submitted_s_by_address: dict[peers.SocketAddress, float] = {}
         self._store_calls = store_calls.StoreCalls()
         self._state = platform_state.PlatformState(
-            process_settings.store_address, self._store_calls
+            process_settings.store_address, self._store_calls, self._members.front_count
         )
         self._state.servers.set_drain_time(process_settings.bounds.drain_s)
         self._server_load = placement.new_placement(
@@ -127,9 +127,11 @@
                 store_watch.CALL_TIMEOUT_S,
                 "members",
                 self._store_calls,
+                self._state.eras,
             ),
             needs_all=lambda: False,
             wait_for_store=self._state.store_retries.wait_for_store,
+            eras=self._state.eras,
         )
         self._datagrams: peers.Datagrams | None = None
         self._distributor: distribution.Distributor | None = None
@@ -246,6 +248,8 @@
         self._metrics.set_gauge("in_progress", self._caller_server.in_progress)
         self._metrics.set_gauge("caller_bytes", self._caller_limits.memory.held_bytes)
         self._metrics.set_gauge("connections", self._caller_limits.memory.connection_count)
+        self._metrics.set_gauge("store_era", self._state.eras.era)
+        self._metrics.set_gauge("store_returns", self._state.eras.return_count)
         table = self._state.table
         self._metrics.set_gauge("configuration_version", table.version if table else 0)
         for (kind, purpose), count in self._store_calls.counts().items():
@@ -293,7 +297,7 @@
         self._members.record_heartbeat(heartbeat.member, heartbeat.serving, now_s)
         self._collectors.record(heartbeat.member, heartbeat.collecting, now_s)
         self._forwarder.demand.receive(heartbeat, now_s)
-        if not self._state.is_outdated(heartbeat.revisions):
+        if not self._state.is_outdated(heartbeat.versions):
             return
         if self._outdated_since_s is None:
             self._outdated_since_s = now_s
@@ -340,7 +344,7 @@
                 self._member,
                 self._serving,
                 table.version if table is not None else 0,
-                self._state.revisions(),
+                self._state.versions(),
                 self._collecting,
                 self._forwarder.announce_demand(now_s),
             )
--- a/packages/gateway/src/gentianpaddle_gateway/http_client.py
+++ b/packages/gateway/src/gentianpaddle_gateway/http_client.py
@@ -255,7 +255,7 @@
                 await connection.send(method, target, fields, body)
                 head = await connection.read_head()
                 body = await connection.read_body(self._body_limit_bytes)
-                return objects.Response(head.status, body)
+                return objects.Response(head.status, body, headers.decode_store_era(head.headers))
         except TimeoutError:
             self.close()
             return objects.Unavailable(f"no answer within {timeout_s:.1f} s", timed_out=True)
--- a/packages/gateway/src/gentianpaddle_gateway/peers.py
+++ b/packages/gateway/src/gentianpaddle_gateway/peers.py
@@ -8,14 +8,15 @@
 import asyncio
 import json
 import logging
+import random
 import socket
 import struct
 import typing
 from collections.abc import Awaitable, Callable, Mapping
 
 from gentianpaddle_core import ids, rendezvous
-from gentianpaddle_core.serving import members, room_share, routes
-from gentianpaddle_gateway import log
+from gentianpaddle_core.serving import members, room_share, routes, store_versions
+from gentianpaddle_gateway import log, store_eras
 from gentianpaddle_platform import decoding, documents, objects
 
 _logger = logging.getLogger("gentianpaddle.peers")
@@ -23,6 +24,16 @@
 MEMBERS_INTERVAL_S = 4.0
 """Interval between reads of the registered VMs by a process that needs all of them."""
 
+CHECK_DELAY_S = 1.5
+"""Longest delay of the check after the store has returned from a copy. All VMs check and may have
+to register again; the entries that a copy lacks must be there within some seconds."""
+
+CHECK_RETRY_S = 0.5
+"""Pause after a failed check."""
+
+KEEP_MISSING_S = 6.0
+"""Time for which VMs stay known that the store lacks after its return."""
+
 RARE_MEMBERS_INTERVAL_S = 20.0
 """Interval between reads of the registered VMs by a process that learns of live ones otherwise:
 fronts from heartbeats, and side processes from the collectors. Each page of a read is charged."""
@@ -57,8 +68,9 @@
 
 
 _DEMAND_KEY = "demand"
-"""Key of the demand in the entry of the VM. Decoders that do not know it ignore it there, but would
-reject a heartbeat with one more field."""
+_ERAS_KEY = "eras"
+"""Keys of the demand and of the eras of the store versions in the entry of the VM. Decoders that do
+not know them ignore them there, but would reject a heartbeat with one more field."""
 
 MAX_SERVICE_NAME_BYTES = 64
 """Maximum length of the name of a service whose demand is announced, so that a heartbeat stays
@@ -194,13 +206,19 @@
     """Whether the front accepts new callers."""
     version: int
     """Version of the configuration that the front applies; 0 for none."""
-    revisions: list[tuple[int, int]]
-    """Store revision and checksum of the objects that the front knows, for each watched kind."""
+    versions: list[tuple[store_versions.StoreVersion, int]]
+    """Store version and checksum of the objects that the front knows, for each watched kind."""
     collecting: bool
     """Whether the front is a collector of its data centre."""
     demand_by_service: Mapping[routes.ServiceName, float] | None = None
     """Demand of the front, or None if it announces none."""
 
+    @property
+    def latest_era(self) -> store_versions.Era | None:
+        """The latest era of the store that the front knows, or None if the store states none."""
+        latest = max((version.era for version, _ in self.versions), default=None)
+        return latest if latest != store_versions.UNSTATED_ERA else None
+
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat.
@@ -213,6 +231,8 @@
     """
     member = heartbeat.member
     spec = documents.encode_member(member)
+    if heartbeat.latest_era is not None:
+        spec[_ERAS_KEY] = [version.era for version, _ in heartbeat.versions]
     if heartbeat.demand_by_service is not None:
         spec[_DEMAND_KEY] = {
             name: round(demand, 1)
@@ -224,7 +244,7 @@
         spec,
         heartbeat.serving,
         heartbeat.version,
-        heartbeat.revisions,
+        [(version.revision, checksum) for version, checksum in heartbeat.versions],
         heartbeat.collecting,
     ]
     return _HEARTBEAT_TYPE + json.dumps(fields, separators=(",", ":")).encode()
@@ -246,13 +266,18 @@
         member = documents.decode_member(vm, spec)
         if member is None:
             return None
-        revision_pairs = [(int(revision), int(checksum)) for revision, checksum in revisions]
+        versions = [
+            (store_versions.StoreVersion(era, int(revision)), int(checksum))
+            for era, (revision, checksum) in zip(
+                _decode_eras(spec.get(_ERAS_KEY), len(revisions)), revisions, strict=True
+            )
+        ]
         demand_by_service = _decode_demand(spec.get(_DEMAND_KEY))
         return Heartbeat(
             member,
             bool(serving),
             int(version),
-            revision_pairs,
+            versions,
             bool(collecting),
             demand_by_service,
         )
@@ -260,6 +285,19 @@
         return None
 
 
+def _decode_eras(value: typing.Any, count: int) -> list[store_versions.Era]:
+    """Decode the eras in a heartbeat; fronts of earlier versions state none.
+
+    A front whose eras are unreadable is alive all the same, but what it knows counts as old.
+    """
+    unstated = [store_versions.UNSTATED_ERA] * count
+    if not isinstance(value, list) or len(value) != count:
+        return unstated
+    if not all(isinstance(era, int) for era in value):
+        return unstated
+    return [store_versions.Era(era) for era in value]
+
+
 def _decode_demand(value: typing.Any) -> dict[routes.ServiceName, float] | None:
     """Decode the demand in a heartbeat; None if there is none or it is malformed.
 
@@ -286,6 +324,7 @@
         needs_all: Returns whether this process needs to know all registered VMs at present.
         wait_for_store: Waits while the store is known to be down; None if this process has no
             watches that tell.
+        eras: Era of the store; None if this process does not learn of it.
     """
 
     def __init__(
@@ -294,7 +333,13 @@
         store: objects.ObjectStore,
         needs_all: Callable[[], bool],
         wait_for_store: Callable[[], Awaitable[None]] | None = None,
+        eras: store_eras.StoreEras | None = None,
     ) -> None:
+        if eras is not None:
+            eras.subscribe(self._check_after_return)
+        self._check_s: float | None = None
+        """Monotonic time at which the registrations are checked after a return of the store."""
+        self._leaving = False
         self._member_view = member_view
         self._needs_all = needs_all
         self._store = store
@@ -313,12 +358,17 @@
                 await self._wait_for_store()
             if not keeps_registration:
                 await self._register()
-            listing = await self._store.list(documents.MEMBERS_KIND, allow_stale=True)
+            checks, self._check_s = self._check_s is not None, None
+            listing = await self._store.list(documents.MEMBERS_KIND, allow_stale=not checks)
             if isinstance(listing, objects.Listing):
                 self._failed_reads = 0
+                if checks:
+                    await self._restore_registration(listing)
                 await self._apply_listing(listing, keeps_registration)
             else:
                 self._failed_reads += 1
+                if checks:
+                    self._check_s = asyncio.get_running_loop().time() + CHECK_RETRY_S
             if keeps_registration and self._failed_reads % FAILED_READS_PER_WRITE == 0:
                 await self._register()
             initialised = (
@@ -330,8 +380,23 @@
                 interval_s = min(2.0 * interval_s, RARE_MEMBERS_INTERVAL_S)
                 interval_s = RARE_MEMBERS_INTERVAL_S if needless else interval_s
 
+    def _check_after_return(self) -> None:
+        """Check the registrations soon, as a copy of the store may lack some."""
+        now_s = asyncio.get_running_loop().time()
+        self._check_s = now_s + random.uniform(0.0, CHECK_DELAY_S)
+        self._member_view.keep_missing(now_s + KEEP_MISSING_S)
+
+    async def _restore_registration(self, listing: objects.Listing) -> None:
+        """Register again if the store lacks this VM; deregister again if it is leaving."""
+        registered = self._member_view.own in _members_of(listing)
+        if self._leaving and registered:
+            await self.deregister()
+        elif not registered:
+            self._registered_at_s = None
+            await self._register()
+
     async def _register(self) -> None:
-        if self._registered_at_s is not None:
+        if self._leaving or self._registered_at_s is not None:
             return
         own = self._member_view.own
         result = await self._store.put(documents.MEMBERS_KIND, own.vm, documents.encode_member(own))
@@ -351,14 +416,12 @@
         while (elapsed_s := loop.time() - started_s) < interval_s:
             if self._needs_all() and (elapsed_s >= MEMBERS_INTERVAL_S or not needed_at_start):
                 return
+            if self._check_s is not None and loop.time() >= self._check_s:
+                return
             await asyncio.sleep(min(INITIAL_MEMBERS_INTERVAL_S, interval_s - elapsed_s))
 
     async def _apply_listing(self, listing: objects.Listing, keeps_registration: bool) -> None:
-        registered = []
-        for item in listing.objects:
-            member = documents.decode_member(item.name, item.spec)
-            if member is not None:
-                registered.append(member)
+        registered = _members_of(listing)
         now_s = asyncio.get_running_loop().time()
         self._member_view.replace(registered, now_s)
         if (
@@ -387,5 +450,11 @@
         return own.vm in rendezvous.choose(f"removal of {vm}", [*live_vms, own.vm], 1)
 
     async def deregister(self) -> None:
-        """Remove the registration of this VM."""
+        """Remove the registration of this VM, which does not register again."""
+        self._leaving = True
         await self._store.delete(documents.MEMBERS_KIND, self._member_view.own.vm)
+
+
+def _members_of(listing: objects.Listing) -> list[members.Member]:
+    decoded = (documents.decode_member(item.name, item.spec) for item in listing.objects)
+    return [member for member in decoded if member is not None]
--- a/packages/gateway/src/gentianpaddle_gateway/platform_state.py
+++ b/packages/gateway/src/gentianpaddle_gateway/platform_state.py
@@ -6,11 +6,13 @@
 import json
 import logging
 import math
+import random
 import typing
+from collections.abc import Callable
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import routes, servers
-from gentianpaddle_gateway import log, store_watch
+from gentianpaddle_core.serving import evacuations, routes, servers, store_versions
+from gentianpaddle_gateway import log, store_eras, store_watch
 from gentianpaddle_platform import decoding, documents, objects
 
 _logger = logging.getLogger("gentianpaddle.beliefs")
@@ -27,12 +29,20 @@
     Args:
         store_address: Host and port of the store.
         counter: Counts the calls to the store, or None.
+        front_count: Returns the number of fronts, which list the store at the same time after it
+            has returned from a copy.
     """
 
-    def __init__(self, store_address: str, counter: objects.CallCounter | None = None) -> None:
+    def __init__(
+        self,
+        store_address: str,
+        counter: objects.CallCounter | None = None,
+        front_count: Callable[[], int] = lambda: 1,
+    ) -> None:
         self.table: routes.RoutingTable | None = None
         """Routing table in force; None until the first configuration is received."""
         self.servers = servers.ServerView()
+        self.eras = store_eras.StoreEras()
         self.changed = asyncio.Event()
         """Set when servers or evacuations change; cleared by the reader."""
         self.store_retries = store_watch.Retries(
@@ -42,6 +52,10 @@
                 documents.EVACUATIONS_KIND,
             )
         )
+
+        def relist_delay_s() -> float:
+            return store_versions.relist_delay_s(front_count(), random.random())
+
         self.watches: dict[str, store_watch.Watch] = {
             documents.CONFIGURATION_KIND: store_watch.Watch(
                 documents.CONFIGURATION_KIND,
@@ -50,6 +64,8 @@
                 prompt_wait_s=store_watch.PROMPT_CONFIGURATION_WAIT_S,
                 retries=self.store_retries,
                 counter=counter,
+                eras=self.eras,
+                relist_delay_s=relist_delay_s,
             ),
             documents.SERVERS_KIND: store_watch.Watch(
                 documents.SERVERS_KIND,
@@ -58,6 +74,8 @@
                 store_watch.WATCH_WAIT_S,
                 retries=self.store_retries,
                 counter=counter,
+                eras=self.eras,
+                relist_delay_s=relist_delay_s,
             ),
             documents.EVACUATIONS_KIND: store_watch.Watch(
                 documents.EVACUATIONS_KIND,
@@ -66,6 +84,8 @@
                 prompt_wait_s=store_watch.PROMPT_EVACUATIONS_WAIT_S,
                 retries=self.store_retries,
                 counter=counter,
+                eras=self.eras,
+                relist_delay_s=relist_delay_s,
             ),
         }
 
@@ -140,20 +160,21 @@
             source=source,
         )
 
-    def revisions(self) -> list[tuple[int, int]]:
-        """Return the store revision and a checksum of the known objects, for each watched kind."""
-        return [(watch.revision, watch.checksum()) for watch in self.watches.values()]
+    def versions(self) -> list[tuple[store_versions.StoreVersion, int]]:
+        """Return the store version and a checksum of the known objects, for each watched kind."""
+        return [(watch.version, watch.checksum()) for watch in self.watches.values()]
 
-    def is_outdated(self, peer_revisions: list[tuple[int, int]]) -> bool:
+    def is_outdated(self, peer_versions: list[tuple[store_versions.StoreVersion, int]]) -> bool:
         """Return whether another process has a newer state of any kind.
 
         Args:
-            peer_revisions: Result of `revisions` in that process.
+            peer_versions: Result of `versions` in that process.
         """
         return any(
-            revision > watch.revision and checksum != watch.checksum()
-            for watch, (revision, checksum) in zip(
-                self.watches.values(), peer_revisions, strict=False
+            version > watch.version
+            and (checksum != watch.checksum() or version.era != watch.version.era)
+            for watch, (version, checksum) in zip(
+                self.watches.values(), peer_versions, strict=False
             )
         )
 
@@ -187,8 +208,15 @@
             return False
         for kind, watch in self.watches.items():
             listing = listings.get(kind)
-            if listing is not None and listing.revision > watch.revision:
-                log.event(_logger, "taken_from_peer", kind=kind, peer=source, at=listing.revision)
+            if listing is not None and listing.version > watch.version:
+                log.event(
+                    _logger,
+                    "taken_from_peer",
+                    kind=kind,
+                    peer=source,
+                    era=listing.version.era,
+                    at=listing.version.revision,
+                )
                 watch.apply_listing(listing)
         return True
 
@@ -199,7 +227,8 @@
     def __init__(self, state: PlatformState) -> None:
         self._state = state
 
-    def on_listing(self, stored: tuple[objects.StoredObject, ...]) -> None:
+    def on_listing(self, stored: tuple[objects.StoredObject, ...], returned: bool) -> None:
+        # A copy may lack the configuration or hold an older one; only a newer version is applied.
         found = objects.find_by_name(stored, documents.CONFIGURATION_NAME)
         if found is not None:
             self._state.apply_configuration(found.spec, "store")
@@ -223,13 +252,13 @@
         self._state = state
         self._server_view = state.servers
 
-    def on_listing(self, stored: tuple[objects.StoredObject, ...]) -> None:
+    def on_listing(self, stored: tuple[objects.StoredObject, ...], returned: bool) -> None:
         entries = []
         for item in stored:
             entry = documents.decode_server(item.name, item.spec)
             if entry is not None:
                 entries.append(entry)
-        self._server_view.replace(entries, asyncio.get_running_loop().time())
+        self._server_view.replace(entries, asyncio.get_running_loop().time(), returned)
         log.event(_logger, "servers_listed", count=len(entries), listed=len(stored))
         self._state.changed.set()
 
@@ -251,7 +280,7 @@
             else "draining"
             if entry.draining
             else "ready",
-            revision=change.object.revision,
+            revision=change.object.version.revision,
         )
         self._state.changed.set()
 
@@ -269,16 +298,28 @@
 
     def __init__(self, state: PlatformState) -> None:
         self._state = state
+        self._evacuations = evacuations.Evacuations()
 
-    def on_listing(self, stored: tuple[objects.StoredObject, ...]) -> None:
-        self._set_evacuated(frozenset(ids.DataCentreId(item.name) for item in stored))
+    def on_listing(self, stored: tuple[objects.StoredObject, ...], returned: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        listed = (ids.DataCentreId(item.name) for item in stored)
+        self._evacuations.replace(listed, now_s, returned)
+        self._update()
 
     def on_change(self, change: objects.Change) -> None:
         name = ids.DataCentreId(change.object.name)
-        known = self._state.servers.evacuated
-        self._set_evacuated(known - {name} if change.removed else known | {name})
-
-    def _set_evacuated(self, evacuated: frozenset[ids.DataCentreId]) -> None:
+        if change.removed:
+            self._evacuations.remove(name)
+        else:
+            self._evacuations.put(name)
+        self._update()
+
+    def _update(self) -> None:
+        loop = asyncio.get_running_loop()
+        evacuated = self._evacuations.current(loop.time())
+        next_end_s = self._evacuations.next_end_s()
+        if next_end_s is not None and next_end_s > loop.time():
+            loop.call_at(next_end_s, self._update)
         if evacuated != self._state.servers.evacuated:
             log.event(_logger, "evacuated", data_centres=",".join(sorted(evacuated)))
             self._state.servers.evacuated = evacuated
--- a/packages/gateway/src/gentianpaddle_gateway/side_process.py
+++ b/packages/gateway/src/gentianpaddle_gateway/side_process.py
@@ -25,6 +25,7 @@
     peers,
     side_calls,
     store_calls,
+    store_eras,
     store_watch,
 )
 from gentianpaddle_platform import documents, engines, objects, settings
@@ -81,11 +82,13 @@
             )
         )
         self._store_calls = store_calls.StoreCalls()
+        self._eras = store_eras.StoreEras()
         self._store = objects.ObjectStore(
             http_client.PersistentTransport(process_settings.store_address),
             store_watch.CALL_TIMEOUT_S,
             "expert_shape",
             self._store_calls,
+            self._eras,
         )
         self._registration = peers.Registration(
             self._members,
@@ -94,8 +97,10 @@
                 store_watch.CALL_TIMEOUT_S,
                 "members",
                 self._store_calls,
+                self._eras,
             ),
             needs_all=self._needs_all_members,
+            eras=self._eras,
         )
         self._collectors = collectors.CollectorView()
         self._engine = engine_client.EngineClient(engine_address)
@@ -158,6 +163,8 @@
             if heartbeat is not None:
                 now_s = asyncio.get_running_loop().time()
                 self._collectors.record(heartbeat.member, heartbeat.collecting, now_s)
+                # A side process reads the store rarely.
+                self._eras.learn(heartbeat.latest_era)
 
     def _reload(self) -> None:
         # No setting of a side process can change at run time; a changed address requires a restart.
--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -7,10 +7,10 @@
 import random
 import typing
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from gentianpaddle_core.serving import store_retries
-from gentianpaddle_gateway import http_client, log
+from gentianpaddle_core.serving import store_retries, store_versions
+from gentianpaddle_gateway import http_client, log, store_eras
 from gentianpaddle_platform import objects
 
 _logger = logging.getLogger("gentianpaddle.store")
@@ -93,11 +93,13 @@
 class WatchHandler(typing.Protocol):
     """Receives the objects and changes of one kind."""
 
-    def on_listing(self, stored: tuple[objects.StoredObject, ...]) -> None:
+    def on_listing(self, stored: tuple[objects.StoredObject, ...], returned: bool) -> None:
         """Handle a complete listing of the kind.
 
         Args:
             stored: All objects of the kind.
+            returned: Whether the store has returned from a copy since the last listing or change,
+                so that what is missing may be written again.
         """
 
     def on_change(self, change: objects.Change) -> None:
@@ -129,6 +131,8 @@
         prompt_wait_s: Maximum time that a call waits at a prompt watcher; None if it is the same.
         retries: Retries of all watches of this front; None if this is the only one.
         counter: Counts the calls, or None.
+        eras: Era of the store; None if this is the only client of the process.
+        relist_delay_s: Returns the delay of a listing after the store has returned from a copy.
     """
 
     def __init__(
@@ -140,6 +144,8 @@
         prompt_wait_s: float | None = None,
         retries: Retries | None = None,
         counter: objects.CallCounter | None = None,
+        eras: store_eras.StoreEras | None = None,
+        relist_delay_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.kind = kind
         self.prompt = True
@@ -149,12 +155,23 @@
         self.transport = http_client.PersistentTransport(address)
         self.last_answer_s: float | None = None
         """Monotonic time of the last successful call; None before the first one."""
-        self.revision = 0
-        """Store revision of the last listing or change that was applied."""
+        self.version = store_versions.NOTHING_KNOWN
+        """Version of the store at the last listing or change that was applied."""
+        self._known = False
+        """Whether a listing was applied."""
         self._object_by_name: dict[str, objects.StoredObject] = {}
-        self._store = objects.ObjectStore(self.transport, CALL_TIMEOUT_S, kind, counter)
+        eras = eras or store_eras.StoreEras()
+        eras.subscribe(self._relist)
+        self._store = objects.ObjectStore(self.transport, CALL_TIMEOUT_S, kind, counter, eras)
         self._handler = handler
-        self._watch_revision: int | None = None
+        self._watch_version: store_versions.StoreVersion | None = None
+        """Version from which the next call watches; None if the kind is to be listed."""
+        self._relist_delay_s = relist_delay_s
+        self._relist_by_s = 0.0
+        """Monotonic time at which the kind is listed, at the earliest."""
+        self._task: asyncio.Task[typing.Any] | None = None
+        self._call_dropped = False
+        """Whether this process has ended the call in progress, to list the kind."""
         self._failure_count = 0
         self._retries = retries or Retries([kind])
         self._called_s = 0.0
@@ -162,43 +179,63 @@
 
     async def run(self) -> None:
         """Watch the kind until cancelled."""
+        self._task = asyncio.current_task()
         while True:
             await self._run_cycle()
 
+    def _relist(self) -> None:
+        """List the kind anew, as the store has returned from a copy."""
+        self._watch_version = None
+        self._relist_by_s = asyncio.get_running_loop().time() + self._relist_delay_s()
+        # The call in progress may wait for seconds, unless it is the one that was answered.
+        if self._task is not None and asyncio.current_task() is not self._task:
+            self._call_dropped = True
+            self.transport.close()
+
     async def _run_cycle(self) -> None:
+        if self._watch_version is None:
+            await asyncio.sleep(self._relist_by_s - asyncio.get_running_loop().time())
         self._called_s = asyncio.get_running_loop().time()
-        if self._watch_revision is None:
+        self._call_dropped = False
+        if self._watch_version is None:
             listing = await self._store.list(self.kind)
             if isinstance(listing, objects.Unavailable):
                 await self._handle_failure(listing)
                 return
             self._handle_success()
-            self._watch_revision = listing.revision
+            self._watch_version = listing.version
             self.apply_listing(listing)
             return
         wait_s = self._prompt_wait_s if self.prompt else self._wait_s
         if self._failure_count:
             wait_s = CONFIRMATION_WAIT_S
-        result = await self._store.watch(self.kind, self._watch_revision, wait_s)
+        watched = self._watch_version
+        result = await self._store.watch(self.kind, watched, wait_s)
         if isinstance(result, objects.Unavailable):
             await self._handle_failure(result)
             return
         self._handle_success()
         if isinstance(result, objects.HistoryGone):
-            log.event(_logger, "history_gone", kind=self.kind, revision=self._watch_revision)
-            self._watch_revision = None
+            log.event(
+                _logger, "history_gone", kind=self.kind, era=watched.era, revision=watched.revision
+            )
+            self._watch_version = None
             return
-        self._watch_revision = result.revision
+        if result.version.era < self.version.era:
+            # Another process has told this one of a return of the store that it has not seen yet.
+            self._watch_version = None
+            return
+        self._watch_version = result.version
         for change in result.changes:
             self._apply_change(change)
         if result.changes:
-            self.revision = max(self.revision, result.revision)
+            self.version = max(self.version, result.version)
             await asyncio.sleep(BATCH_PAUSE_S)
 
     def _apply_change(self, change: objects.Change) -> None:
-        name, object_revision = change.object.name, change.object.revision
+        name = change.object.name
         known = self._object_by_name.get(name)
-        if known is not None and known.revision > object_revision:
+        if known is not None and known.version > change.object.version:
             return
         if change.removed:
             self._object_by_name.pop(name, None)
@@ -212,19 +249,35 @@
         Args:
             listing: Listing; ignored if it is older than the known state.
         """
-        if listing.revision < self.revision:
+        if listing.version < self.version:
             return
-        self.revision = listing.revision
+        returned = listing.version.era > self.version.era and self._known
+        if returned:
+            names = {item.name for item in listing.objects}
+            log.event(
+                _logger,
+                "relisted",
+                kind=self.kind,
+                era=listing.version.era,
+                revision=listing.version.revision,
+                previous_era=self.version.era,
+                previous_revision=self.version.revision,
+                listed=len(names),
+                kept=len(names & self._object_by_name.keys()),
+                missing=len(self._object_by_name.keys() - names),
+            )
+        self._known = True
+        self.version = listing.version
         self._object_by_name = {item.name: item for item in listing.objects}
-        self._handler.on_listing(listing.objects)
+        self._handler.on_listing(listing.objects, returned)
 
     def listing(self) -> objects.Listing:
-        """Return all known objects of the kind, with their store revision."""
-        return objects.Listing(tuple(self._object_by_name.values()), self.revision)
+        """Return all known objects of the kind, with their store version."""
+        return objects.Listing(tuple(self._object_by_name.values()), self.version)
 
     def checksum(self) -> int:
         """Return a checksum of the known objects and their revisions."""
-        pairs = sorted((item.name, item.revision) for item in self._object_by_name.values())
+        pairs = sorted((item.name, item.version.revision) for item in self._object_by_name.values())
         return zlib.crc32(repr(pairs).encode())
 
     def _handle_success(self) -> None:
@@ -246,6 +299,8 @@
         return self._failure_count > 0
 
     async def _handle_failure(self, failure: objects.Unavailable) -> None:
+        if self._call_dropped:
+            return
         if not self._failure_count:
             log.event(_logger, "store_lost", logging.WARNING, kind=self.kind, reason=failure.reason)
         self._handler.on_store_lost(failure.timed_out)
--- a/packages/gateway/tests/test_distribution.py
+++ b/packages/gateway/tests/test_distribution.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import collectors, members, routes
+from gentianpaddle_core.serving import collectors, members, routes, store_versions
 from gentianpaddle_gateway import distribution, peers
 from gentianpaddle_platform import documents
 
@@ -214,14 +214,23 @@
     assert peers.decode_load(b"H[]") is None
 
 
+def version(era: int, revision: int) -> store_versions.StoreVersion:
+    return store_versions.StoreVersion(store_versions.Era(era), revision)
+
+
+VERSIONS = [(version(store_versions.UNSTATED_ERA, revision), 4) for revision in (1, 3, 5)]
+
+
 @pytest.mark.parametrize("demand", [None, {}, {routes.ServiceName("s"): 7.5}])
 @pytest.mark.parametrize("collecting", [True, False])
+@pytest.mark.parametrize("versions", [VERSIONS, [(version(1, 5), 2), (version(2, 4), 4)]])
 def test_heartbeat_round_trip(
-    collecting: bool, demand: dict[routes.ServiceName, float] | None
+    versions: list[tuple[store_versions.StoreVersion, int]],
+    collecting: bool,
+    demand: dict[routes.ServiceName, float] | None,
 ) -> None:
     """Guards against live fronts considered dead because their heartbeats are unreadable."""
-    revisions = [(1, 2), (3, 4), (5, 6)]
-    sent = peers.Heartbeat(front_member(4, 3), True, 7, revisions, collecting, demand)
+    sent = peers.Heartbeat(front_member(4, 3), True, 7, versions, collecting, demand)
     assert peers.decode_heartbeat(peers.encode_heartbeat(sent)) == sent
     assert peers.decode_heartbeat(peers.encode_load(LOAD)) is None
 
@@ -231,14 +240,26 @@
     member = front_member(4, 3)
     demand = {routes.ServiceName(f"{number}" * 40): 100.0 + number for number in range(10)}
     demand[routes.ServiceName("x" * 500)] = 200.0
-    message = peers.encode_heartbeat(peers.Heartbeat(member, True, 7, [(1, 2)], True, demand))
-    vm, spec, serving, version, revisions, collecting = json.loads(message[1:])
+    known = [(version(3, 1), 2)]
+    message = peers.encode_heartbeat(peers.Heartbeat(member, True, 7, known, True, demand))
+    vm, spec, serving, configured, revisions, collecting = json.loads(message[1:])
     assert documents.decode_member(vm, spec) == member
-    assert [serving, version, revisions, collecting] == [True, 7, [[1, 2]], True]
-    plain = peers.encode_heartbeat(peers.Heartbeat(member, True, 7, [(1, 2)], True))
+    assert [serving, configured, revisions, collecting] == [True, 7, [[1, 2]], True]
+    plain = peers.encode_heartbeat(peers.Heartbeat(member, True, 7, known, True))
     assert len(message) - len(plain) <= 8 * (peers.MAX_SERVICE_NAME_BYTES + 10) + 12
 
 
+@pytest.mark.parametrize("eras", [None, 5, [1], ["1", "2"], [1, None], {"a": 1}, [[1], [2]]])
+def test_heartbeat_with_malformed_eras(eras: object) -> None:
+    """Guards against a live front that counts as dead, or as newer, because of unreadable eras."""
+    member = front_member(4, 3)
+    spec = {**documents.encode_member(member), "eras": eras}
+    message = b"H" + json.dumps([member.vm, spec, True, 7, [[9, 1], [9, 2]], False]).encode()
+    heartbeat = peers.decode_heartbeat(message)
+    assert heartbeat is not None
+    assert all(known < version(0, 0) for known, _ in heartbeat.versions)
+
+
 @pytest.mark.parametrize(
     "demand", [5, [1], {"s": "x"}, {"s": None}, {"s": float("inf")}, {"s": []}]
 )
--- a/packages/gateway/tests/test_registration.py
+++ b/packages/gateway/tests/test_registration.py
@@ -10,8 +10,8 @@
 import pytest
 
 from gentianpaddle_core import ids
-from gentianpaddle_core.serving import members
-from gentianpaddle_gateway import peers
+from gentianpaddle_core.serving import members, store_versions
+from gentianpaddle_gateway import peers, store_eras
 from gentianpaddle_platform import documents, objects
 
 
@@ -32,7 +32,7 @@
         if not self.available:
             return objects.Unavailable("status 503")
         self.spec_by_name[name] = json.loads(json.dumps(spec))
-        return objects.StoredObject(name, len(self.spec_by_name), spec)
+        return objects.StoredObject(name, store_versions.NOTHING_KNOWN, spec)
 
     async def list(
         self, kind: str, allow_stale: bool = False
@@ -40,11 +40,15 @@
         self.list_count += 1
         if not self.available:
             return objects.Unavailable("status 503")
-        items = [objects.StoredObject(name, 1, spec) for name, spec in self.spec_by_name.items()]
-        return objects.Listing(tuple(items), 1)
+        version = store_versions.NOTHING_KNOWN
+        items = [
+            objects.StoredObject(name, version, spec) for name, spec in self.spec_by_name.items()
+        ]
+        return objects.Listing(tuple(items), version)
 
     async def delete(self, kind: str, name: str) -> objects.Response:
         self.delete_count += 1
+        self.spec_by_name.pop(name, None)
         return objects.Response(200, b"")
 
 
@@ -62,7 +66,14 @@
     registration: peers.Registration, monkeypatch: pytest.MonkeyPatch, duration_s: float
 ) -> None:
     """Run a registration a hundred times as fast."""
-    for name in ("MEMBERS_INTERVAL_S", "RARE_MEMBERS_INTERVAL_S", "INITIAL_MEMBERS_INTERVAL_S"):
+    for name in (
+        "MEMBERS_INTERVAL_S",
+        "RARE_MEMBERS_INTERVAL_S",
+        "INITIAL_MEMBERS_INTERVAL_S",
+        "CHECK_DELAY_S",
+        "CHECK_RETRY_S",
+        "KEEP_MISSING_S",
+    ):
         monkeypatch.setattr(peers, name, getattr(peers, name) / 100.0)
     task = asyncio.create_task(registration.run())
     await asyncio.sleep(duration_s / 100.0)
@@ -241,3 +252,69 @@
         assert sum(store.delete_count > 0 for store in stores) == 1
 
     asyncio.run(scenario())
+
+
+CATCH_UP_S = 4.0
+"""Time after a return of the store within which the entries of the system must be there again."""
+
+
+@pytest.mark.parametrize("own", [front(0), side(0)])
+@pytest.mark.parametrize("unavailable_s", [0.0, 1.0])
+def test_vm_registers_again_after_a_return_of_the_store(
+    monkeypatch: pytest.MonkeyPatch, own: members.Member, unavailable_s: float
+) -> None:
+    """Guards against VMs that the others do not know, as a copy of the store lacks their entries.
+
+    Meanwhile another VM that the copy lacks too stays known, and no call is made without a return.
+    """
+
+    async def scenario() -> None:
+        store, eras = FakeStore(), store_eras.StoreEras()
+        await store.put(documents.MEMBERS_KIND, "s1", documents.encode_member(side(1)))
+        view = members.MemberView(own)
+        registration = peers.Registration(
+            view, typing.cast("objects.ObjectStore", store), lambda: False, eras=eras
+        )
+        task = asyncio.create_task(run_scaled(registration, monkeypatch, 60.0))
+        await asyncio.sleep(0.4)
+        eras.learn(store_versions.Era(1))
+        calls = store.list_count + store.put_count
+        await asyncio.sleep(0.04)
+        assert store.list_count + store.put_count <= calls + 1
+        store.spec_by_name.clear()
+        store.available = unavailable_s == 0.0
+        eras.learn(store_versions.Era(2))
+        await asyncio.sleep(unavailable_s / 100.0)
+        store.available = True
+        await asyncio.sleep(CATCH_UP_S / 100.0)
+        assert own.vm in store.spec_by_name
+        assert view.other_members() == [side(1)]
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_leaving_vm_does_not_register_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a stopped VM that stays registered, as a copy of the store shows it again."""
+
+    async def scenario() -> None:
+        store, eras = FakeStore(), store_eras.StoreEras()
+        await store.put(documents.MEMBERS_KIND, "f1", documents.encode_member(front(1)))
+        registration = peers.Registration(
+            members.MemberView(front(0)),
+            typing.cast("objects.ObjectStore", store),
+            lambda: False,
+            eras=eras,
+        )
+        task = asyncio.create_task(run_scaled(registration, monkeypatch, 60.0))
+        await asyncio.sleep(0.1)
+        eras.learn(store_versions.Era(1))
+        copied = dict(store.spec_by_name)
+        await registration.deregister()
+        store.spec_by_name.update(copied)
+        eras.learn(store_versions.Era(2))
+        await asyncio.sleep(CATCH_UP_S / 100.0)
+        assert list(store.spec_by_name) == ["f1"]
+        task.cancel()
+
+    asyncio.run(scenario())
--- a/packages/gateway/tests/test_store_calls.py
+++ b/packages/gateway/tests/test_store_calls.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gentianpaddle_core.serving import store_versions
 from gentianpaddle_gateway import metrics, store_calls
 from gentianpaddle_platform import objects
 
@@ -38,7 +39,7 @@
             {(objects.CallKind.STALE_READ, "p"): 1},
         ),
         (
-            lambda store: store.watch("k", 1, 1.0),
+            lambda store: store.watch("k", store_versions.NOTHING_KNOWN, 1.0),
             objects.Response(410, b""),
             {(objects.CallKind.WATCH, "p"): 1},
         ),
