Let the store of the soak return from copies

The soak had no fault in which the store loses what it has acknowledged. return_store takes a copy, goes back to it once or twice up to 2 s later, with or without an outage and with its revisions behind or ahead, and lets the operator and servers write again what the copy lacks.

--- a/fault_soak/faults.py
+++ b/fault_soak/faults.py
@@ -27,6 +27,9 @@
 STOP_MARGIN_S = 0.5
 """Time beyond the grace period within which a stopping process must exit."""
 
+WRITTEN_AGAIN = ("config", "servers")
+"""Kinds of objects that the operator and the backend servers write."""
+
 Fault = Callable[[system.System, random.Random], Awaitable[None]]
 
 
@@ -148,6 +151,28 @@
     store.forced_status = None
 
 
+async def return_store(sut: system.System, rng: random.Random) -> None:
+    """Make the store return from a copy, once or twice, of up to 2 s ago.
+
+    The operator and the backend servers write again what the copy lacks, the system itself may not
+    have.
+    """
+    store = sut.store
+    copied = store.take_copy()
+    await asyncio.sleep(rng.uniform(0.1, 2.0))
+    if rng.random() < 0.5:
+        store.silent = True
+        store.http.abort_connections()
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
+        store.silent = False
+    for _ in range(rng.randint(1, 2)):
+        latest = store.take_copy()
+        store.return_from(copied, rng.choice((0, 5, 1_000)))
+        if rng.random() < 0.7:
+            store.http.abort_connections()
+        store.write_again(latest, WRITTEN_AGAIN)
+
+
 async def fail_server_requests(sut: system.System, rng: random.Random) -> None:
     """Make the next one to four requests of a backend server fail."""
     server = rng.choice(sut.servers)
@@ -221,6 +246,7 @@
     disrupt_store_link,
     disrupt_server_link,
     disrupt_store,
+    return_store,
     fail_server_requests,
     replace_server,
     crash_server,
--- a/fault_soak/system.py
+++ b/fault_soak/system.py
@@ -120,6 +120,7 @@
         self.folder = folder
         self.address_prefix = f"127.0.{100 + slot}"
         self.store = store.StoreStandin()
+        self.store.stated_era = "1"
         self.servers: list[Server] = []
         """All servers started so far; those that have left stay here with their runs."""
         self.fronts: list[Front] = []
