End the calls in progress as tasks when the store has returned

Found by reading: a watch that was just connecting while another call showed a new era kept its call from a revision of the old one, for up to 20 s.

Change: each call of a watch is a task, which is cancelled.

--- a/packages/gateway/src/gentianpaddle_gateway/store_watch.py
+++ b/packages/gateway/src/gentianpaddle_gateway/store_watch.py
@@ -7,7 +7,7 @@
 import random
 import typing
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 
 from gentianpaddle_core.serving import store_retries, store_versions
 from gentianpaddle_gateway import http_client, log, store_eras
@@ -120,6 +120,9 @@
         """Handle a successful call to the store."""
 
 
+_Result = typing.TypeVar("_Result")
+
+
 class Watch:
     """Watch of one kind of objects.
 
@@ -169,9 +172,8 @@
         self._relist_delay_s = relist_delay_s
         self._relist_by_s = 0.0
         """Monotonic time at which the kind is listed, at the earliest."""
-        self._task: asyncio.Task[typing.Any] | None = None
-        self._call_dropped = False
-        """Whether this process has ended the call in progress, to list the kind."""
+        self._call: asyncio.Task[typing.Any] | None = None
+        """Call in progress."""
         self._failure_count = 0
         self._retries = retries or Retries([kind])
         self._called_s = 0.0
@@ -179,7 +181,6 @@
 
     async def run(self) -> None:
         """Watch the kind until cancelled."""
-        self._task = asyncio.current_task()
         while True:
             await self._run_cycle()
 
@@ -188,17 +189,27 @@
         self._watch_version = None
         self._relist_by_s = asyncio.get_running_loop().time() + self._relist_delay_s()
         # The call in progress may wait for seconds, unless it is the one that was answered.
-        if self._task is not None and asyncio.current_task() is not self._task:
-            self._call_dropped = True
-            self.transport.close()
+        if self._call is not None and self._call is not asyncio.current_task():
+            self._call.cancel()
+
+    async def _run_call(self, call: Coroutine[typing.Any, typing.Any, _Result]) -> _Result | None:
+        """Return the result of a call, or None if `_relist` has ended it."""
+        self._call = asyncio.create_task(call)
+        try:
+            await asyncio.wait((self._call,))
+            return None if self._call.cancelled() else self._call.result()
+        finally:
+            self._call.cancel()
+            self._call = None
 
     async def _run_cycle(self) -> None:
         if self._watch_version is None:
             await asyncio.sleep(self._relist_by_s - asyncio.get_running_loop().time())
         self._called_s = asyncio.get_running_loop().time()
-        self._call_dropped = False
         if self._watch_version is None:
-            listing = await self._store.list(self.kind)
+            listing = await self._run_call(self._store.list(self.kind))
+            if listing is None:
+                return
             if isinstance(listing, objects.Unavailable):
                 await self._handle_failure(listing)
                 return
@@ -210,7 +221,9 @@
         if self._failure_count:
             wait_s = CONFIRMATION_WAIT_S
         watched = self._watch_version
-        result = await self._store.watch(self.kind, watched, wait_s)
+        result = await self._run_call(self._store.watch(self.kind, watched, wait_s))
+        if result is None:
+            return
         if isinstance(result, objects.Unavailable):
             await self._handle_failure(result)
             return
@@ -299,8 +312,6 @@
         return self._failure_count > 0
 
     async def _handle_failure(self, failure: objects.Unavailable) -> None:
-        if self._call_dropped:
-            return
         if not self._failure_count:
             log.event(_logger, "store_lost", logging.WARNING, kind=self.kind, reason=failure.reason)
         self._handler.on_store_lost(failure.timed_out)
--- a/packages/gateway/tests/test_store_watch.py
+++ b/packages/gateway/tests/test_store_watch.py
@@ -7,7 +7,11 @@
 import typing
 
 import pytest
-from gentianpaddle_platform_standins import documents, front_system
+from gentianpaddle_platform_standins import documents, front_system, store
+
+from gentianpaddle_core.serving import store_versions
+from gentianpaddle_gateway import store_eras, store_watch
+from gentianpaddle_platform import objects
 
 STABILITY_WINDOW_S = 3.0
 """Time after the fault from which the limits on the delay of changes apply again."""
@@ -100,3 +104,43 @@
             assert (await running.ask("/look/1", key="key-2")).status == 503
 
     asyncio.run(scenario())
+
+
+class _Handler:
+    """Counts the listings, and the failed calls that a watch reports."""
+
+    def __init__(self) -> None:
+        self.listings = 0
+        self.failures = 0
+
+    def on_listing(self, stored: tuple[objects.StoredObject, ...], returned: bool) -> None:
+        self.listings += 1
+
+    def on_change(self, change: objects.Change) -> None:
+        pass
+
+    def on_store_lost(self, timed_out: bool) -> None:
+        self.failures += 1
+
+    def on_store_answered(self) -> None:
+        pass
+
+
+def test_call_in_progress_ends_when_the_store_has_returned() -> None:
+    """Guards against a watch that waits 20 s for changes since a revision of an old era."""
+
+    async def scenario() -> None:
+        server, eras, handler = store.StoreStandin(), store_eras.StoreEras(), _Handler()
+        await server.http.listen()
+        eras.learn(store_versions.Era(1))
+        watch = store_watch.Watch("config", handler, server.http.address, eras=eras)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.3)
+        assert handler.listings == 1
+        eras.learn(store_versions.Era(2))
+        await asyncio.sleep(0.3)
+        assert (handler.listings, handler.failures) == (2, 0)
+        task.cancel()
+        server.http.close()
+
+    asyncio.run(scenario())
