--- a/packages/core/tests/test_silence.py
+++ b/packages/core/tests/test_silence.py
@@ -142,6 +142,6 @@
     history = attempts.AttemptHistory()
     result = attempts.NotRun("no connection", arrived=arrived)
     history.add(result)
-    step = attempts.next_step(ROUTE, history, result, 5.0, budget)
+    step = attempts.next_step(ROUTE, history, result, 5.0, True, budget)
     assert isinstance(step, attempts.Retry)
     assert len(calls) == asked
