Do not use servers again that left just before a copy lists them

Cause, by the front's log: it learned of the removal just after an outage, so that the entry was in its grace time and not yet counted as left; then the copy listed it, which ended the grace. Looking for the same in the property test, a longer run found that an incarnation that had drained was forgotten when the next one wrote its entry.

Change: a removal that the store has stated counts as leaving at once if a copy lists the entry; each replaced incarnation is remembered.

test_server_that_left_just_after_an_outage_is_not_used_again fails before.

--- a/packages/core/src/gentianpaddle_core/serving/servers.py
+++ b/packages/core/src/gentianpaddle_core/serving/servers.py
@@ -62,6 +62,8 @@
     entry: ServerEntry
     unlisted: bool = False
     """Whether the entry was removed after an outage of the directory and is kept for now."""
+    removed: bool = False
+    """Whether the directory has stated the removal, rather than only returned without the entry."""
     kept_until_s: float = math.inf
     """Time until which it is kept at most, also while the directory is not available: another
     process has told this one that a copy lacks the entry."""
@@ -123,9 +125,11 @@
             self._grace_until_s = now_s + self._grace_s
         entry_by_id = {entry.id: entry for entry in entries}
         for missing in self._known_by_id.keys() - entry_by_id.keys():
-            self.remove(missing, now_s)
-            if returned and missing in self._known_by_id:
-                self._known_by_id[missing].kept_until_s = self._grace_until_s
+            lacked = self._known_by_id[missing]
+            if returned and not lacked.entry.draining:
+                lacked.unlisted, lacked.kept_until_s = True, self._grace_until_s
+            else:
+                self.remove(missing, now_s)
         for entry in entry_by_id.values():
             known = self._known_by_id.get(entry.id)
             if returned and self._had_left(entry, now_s):
@@ -133,7 +137,7 @@
                     entry, withheld_until_s=now_s + WITHHELD_S
                 )
             elif known is not None and known.entry == entry:
-                known.unlisted, known.kept_until_s = False, math.inf
+                known.unlisted, known.removed, known.kept_until_s = False, False, math.inf
             else:
                 self.put(entry, now_s)
 
@@ -143,12 +147,12 @@
             return False
         departed, departed_s = self._departed_by_id.get(entry.id, (None, -math.inf))
         known = self._known_by_id.get(entry.id)
-        if known is not None and known.entry.draining:
+        if known is not None and (known.entry.draining or known.removed):
             departed, departed_s = known.entry, now_s
         return (
             departed is not None
             and now_s - departed_s < DEPARTED_S
-            and (departed.address, departed.started_ms) == (entry.address, entry.started_ms)
+            and _same_start(departed, entry)
         )
 
     def put(self, entry: ServerEntry, now_s: float) -> None:
@@ -158,10 +162,14 @@
             entry: The entry.
             now_s: Monotonic time in seconds.
         """
-        self._departed_by_id.pop(entry.id, None)
+        departed, _ = self._departed_by_id.get(entry.id, (entry, now_s))
+        if _same_start(departed, entry):
+            self._departed_by_id.pop(entry.id, None)
         known = self._known_by_id.get(entry.id)
+        if known is not None and not _same_start(known.entry, entry):
+            self._record_departure(known.entry, now_s)
         if known is not None and known.entry == entry:
-            known.unlisted, known.kept_until_s = False, math.inf
+            known.unlisted, known.removed, known.kept_until_s = False, False, math.inf
             known.withheld_until_s = -math.inf
             return
         self._known_by_id[entry.id] = _KnownServer(entry)
@@ -177,14 +185,16 @@
         if known is None:
             return
         if now_s < self._grace_until_s and not known.entry.draining:
-            known.unlisted = True
+            known.unlisted = known.removed = True
         else:
             self._forget(server, now_s)
 
     def _forget(self, server: ids.BackendServerId, now_s: float) -> None:
-        known = self._known_by_id.pop(server)
-        self._departed_by_id[server] = known.entry, now_s
-        self._departed_by_id.move_to_end(server)
+        self._record_departure(self._known_by_id.pop(server).entry, now_s)
+
+    def _record_departure(self, entry: ServerEntry, now_s: float) -> None:
+        self._departed_by_id[entry.id] = entry, now_s
+        self._departed_by_id.move_to_end(entry.id)
         if len(self._departed_by_id) > MAX_DEPARTED:
             self._departed_by_id.popitem(last=False)
 
@@ -250,3 +260,8 @@
     def count(self) -> int:
         """Return the number of known servers."""
         return len(self._known_by_id)
+
+
+def _same_start(first: ServerEntry, second: ServerEntry) -> bool:
+    """Return whether two entries with the same id are of the same start of the server."""
+    return (first.address, first.started_ms) == (second.address, second.started_ms)
--- a/packages/core/tests/test_store_return.py
+++ b/packages/core/tests/test_store_return.py
@@ -137,6 +137,25 @@
     assert not view.usable(SERVICE, 10.1 + servers.REGISTRATION_GRACE_S)
 
 
+def test_server_that_left_just_after_an_outage_is_not_used_again() -> None:
+    """Guards against a removal in the grace time of an outage that a copy seems to take back.
+
+    A server that a first copy lacks and a second one lists has only written its entry again.
+    """
+    view = servers.ServerView()
+    for name in ("a", "b"):
+        view.put(entry(name), 0.0)
+    view.store_lost()
+    view.store_answered(10.0)
+    view.remove(ids.BackendServerId("a"), 10.1)
+    assert len(view.usable(SERVICE, 10.2)) == 2
+    view.replace([entry("a")], 11.0, returned=True)
+    view.replace([entry("a"), entry("b")], 12.0, returned=True)
+    assert [item.id for item in view.usable(SERVICE, 12.1)] == ["b"]
+    view.put(entry("a"), 12.2)
+    assert len(view.usable(SERVICE, 12.3)) == 2
+
+
 def test_server_that_had_left_is_used_if_its_entry_stays() -> None:
     """Guards against a live server that is shut out for good, as the copy lists it as it was."""
     view = servers.ServerView()
